--- /dev/null
+++ b/Makefile
@@ -0,0 +1,66 @@
+# Verbs for people and for CI.  `make install` needs only Python 3.11.
+
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+PACKAGES = messages placement limits attempts membership settings platform peers routing router
+EDITABLE = $(foreach name,$(PACKAGES),-e ./packages/$(name)) -e ./standins
+SOURCES = packages standins tests scenarios models measure
+BINARY = dist/seamhold
+
+.PHONY: install demo up test scenarios models measure codestyle format generate lock binary check-binary clean
+
+install: $(STAMP)
+
+$(STAMP): requirements-dev.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(EDITABLE)
+	touch $(STAMP)
+
+demo: install
+	$(BIN)/python -m standins.demo
+
+up: install
+	$(BIN)/python -m standins.demo --up
+
+test: install
+	$(BIN)/python -m tests
+
+scenarios: install
+	$(BIN)/behave --no-capture scenarios
+
+models: install
+	$(BIN)/python -m models
+
+measure: install
+	$(BIN)/python -m measure
+
+codestyle: install
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+
+format: install
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+# Needs requirements-generate.txt; what it writes is committed.
+generate:
+	$(BIN)/pip install --quiet --requirement requirements-generate.txt
+	sh extras/generate.sh $(BIN)/python
+
+lock:
+	sh extras/lock.sh $(BIN)
+
+binary: $(BINARY)
+
+$(BINARY): install
+	sh extras/binary.sh $(BIN) $(BINARY)
+
+check-binary: $(BINARY)
+	$(BIN)/python extras/check_binary.py $(BINARY)
+
+clean:
+	rm -rf $(VENV) dist build .ruff_cache .hypothesis
+	find . -name __pycache__ -type d -prune -exec rm -rf {} +
--- /dev/null
+++ b/packages/limits/seamhold_limits/__init__.py
@@ -0,0 +1,8 @@
+"""Fleet-wide workspace limits and short, fair queues."""
+
+from .queue import WaitQueue
+from .rate import TokenBucket
+from .share import split_limit
+from .workspaces import WorkspaceCaps, WorkspaceLimits
+
+__all__ = ['TokenBucket', 'WaitQueue', 'WorkspaceCaps', 'WorkspaceLimits', 'split_limit']
--- /dev/null
+++ b/packages/membership/seamhold_membership/gossip.py
@@ -0,0 +1,67 @@
+"""Exceptions that spread from box to box: small, relayed, seen once.
+
+Each event names its subject and the subject's incarnation, so a repeat is
+recognised, and a later start of the subject is not struck by old news.  An
+event is relayed a number of times that grows with the logarithm of the
+fleet, as in the SWIM protocol's piggybacked dissemination (Das, Gupta and
+Motivala), and then kept only to recognise repeats.
+"""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class EventKind(IntEnum):
+    """What happened; the lower number is sent first when bytes are short."""
+
+    ENGINE_LEAVING = 1
+    BOX_LEAVING = 2
+    ENGINE_FAILING = 3
+    BOX_GONE = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One exception; `origin` is the box that saw it."""
+
+    kind: EventKind
+    subject: str
+    incarnation: str
+    origin: str = ''
+
+
+class EventLog:
+    """Events to relay, and those already seen."""
+
+    SEEN_MAX = 8192
+    RELAY_FACTOR = 2
+
+    def __init__(self):
+        self._seen: OrderedDict[Event, None] = OrderedDict()
+        self._relays: dict[Event, int] = {}
+
+    def add(self, event: Event, boxes: int) -> bool:
+        """Take note of `event`; False if it was known."""
+        if event in self._seen:
+            return False
+        self._seen[event] = None
+        while len(self._seen) > self.SEEN_MAX:
+            self._seen.popitem(last=False)
+        self._relays[event] = self.RELAY_FACTOR * (1 + math.ceil(math.log2(max(2, boxes))))
+        return True
+
+    def pending(self, most: int) -> list[Event]:
+        """Up to `most` events for the next message, the gravest first."""
+        ordered = sorted(self._relays, key=lambda event: (event.kind, -self._relays[event]))
+        return ordered[:most]
+
+    def relayed(self, events: list[Event]) -> None:
+        """The message with these events went out once."""
+        for event in events:
+            left = self._relays.get(event, 0) - 1
+            if left > 0:
+                self._relays[event] = left
+            else:
+                self._relays.pop(event, None)
--- /dev/null
+++ b/packages/membership/seamhold_membership/view.py
@@ -0,0 +1,222 @@
+"""What one box believes of the boxes and engines around it.
+
+Three sources meet here: the platform's list, which lags; events from peers;
+and what the box's own calls met.  `leaving` is sticky per incarnation: no
+lagging list brings a leaving engine back, only a new start of it does.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from seamhold_messages.fleet import Box, Engine, Phase
+
+#: Share of its weight a newly seen engine starts with, and the steps to 1.
+RISING_STEPS = (0.25, 0.5, 0.75)
+
+
+@dataclass(slots=True)
+class _EngineState:
+    engine: Engine
+    since: float
+    rising: bool = False
+    suspect_until: float = 0.0
+    flaps: int = 0
+    reporters: dict[str, float] = field(default_factory=dict)
+
+
+class EngineView:
+    """Engines by name with the phase this box gives them.
+
+    `rising_seconds` is how long an engine takes to its full weight after it
+    joins; `suspect_seconds` is how long this box avoids an engine after one
+    of its own calls failed there, doubled for each failure in a row.
+    """
+
+    FLAPS_MAX = 5
+    REPORTERS_FOR_SUSPECT = 3
+    REPORT_SECONDS = 5.0
+
+    def __init__(self, rising_seconds: float = 10.0, suspect_seconds: float = 2.0):
+        self.rising_seconds = rising_seconds
+        self.suspect_seconds = suspect_seconds
+        self._states: dict[str, _EngineState] = {}
+        self._leaving: dict[str, str] = {}
+        self._listed_once = False
+
+    def set_list(self, engines: list[Engine], now: float) -> None:
+        """Take over the platform's list; it may be behind."""
+        names = {engine.name for engine in engines}
+        for name in set(self._states) - names:
+            del self._states[name]
+            self._leaving.pop(name, None)
+        for engine in engines:
+            self._set_engine(engine, now)
+        self._listed_once = True
+
+    def _set_engine(self, engine: Engine, now: float) -> None:
+        held = self._states.get(engine.name)
+        if engine.phase is Phase.LEAVING:
+            self._leaving[engine.name] = engine.incarnation
+        if held and held.engine.incarnation == engine.incarnation:
+            held.engine = engine
+            return
+        # All engines of the first list rise together, which is no rise.
+        self._states[engine.name] = _EngineState(engine, now, rising=self._listed_once)
+
+    def leaving(self, name: str, incarnation: str) -> None:
+        """An engine said, or a peer told, that it takes no new work."""
+        self._leaving[name] = incarnation
+
+    def failed(self, name: str, now: float) -> None:
+        """One of this box's calls met a dead or failing engine."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        state.flaps = min(state.flaps + 1, self.FLAPS_MAX)
+        state.suspect_until = now + self.suspect_seconds * 2 ** (state.flaps - 1)
+
+    def answered(self, name: str) -> None:
+        """One of this box's calls was answered whole."""
+        state = self._states.get(name)
+        if state is not None:
+            state.flaps = 0
+            state.suspect_until = 0.0
+            state.reporters.clear()
+
+    def reported_failing(self, name: str, incarnation: str, box: str, now: float) -> None:
+        """Peer `box` told that its calls to the engine fail."""
+        state = self._states.get(name)
+        if state is not None and state.engine.incarnation == incarnation:
+            state.reporters[box] = now + self.REPORT_SECONDS
+
+    def phase(self, name: str, now: float) -> Phase:
+        """The phase this box gives the engine."""
+        state = self._states.get(name)
+        if state is None or state.engine.phase is Phase.GONE:
+            return Phase.GONE
+        if self._leaving.get(name) == state.engine.incarnation:
+            return Phase.LEAVING
+        reports = sum(now < until for until in state.reporters.values())
+        if now < state.suspect_until or reports >= self.REPORTERS_FOR_SUSPECT:
+            return Phase.SUSPECT
+        return Phase.LIVE
+
+    def _weight(self, state: _EngineState, now: float) -> float:
+        if not state.rising or self.rising_seconds <= 0:
+            return state.engine.weight
+        age = (now - state.since) / self.rising_seconds
+        if age >= 1.0:
+            state.rising = False
+            return state.engine.weight
+        step = RISING_STEPS[min(int(age * len(RISING_STEPS)), len(RISING_STEPS) - 1)]
+        return state.engine.weight * step
+
+    def get(self, name: str) -> Engine | None:
+        """The engine as listed."""
+        state = self._states.get(name)
+        return state.engine if state else None
+
+    def listed(self) -> list[Engine]:
+        """Every engine as the platform listed it."""
+        return [state.engine for state in self._states.values()]
+
+    def all(self, now: float) -> list[Engine]:
+        """Every listed engine with the phase this box gives it."""
+        return [
+            replace(state.engine, phase=self.phase(name, now))
+            for name, state in self._states.items()
+        ]
+
+    def serving(self, service: str, now: float) -> dict[str, Engine]:
+        """Engines of `service` that may get new work, at today's weight.
+
+        If all are suspect, the suspects serve: a wrong suspicion must not
+        stop a service.
+        """
+        found: dict[str, Engine] = {}
+        suspects: dict[str, Engine] = {}
+        for name, state in self._states.items():
+            if state.engine.service != service:
+                continue
+            phase = self.phase(name, now)
+            chosen = {Phase.LIVE: found, Phase.SUSPECT: suspects}.get(phase)
+            if chosen is not None:
+                chosen[name] = replace(state.engine, weight=self._weight(state, now))
+        return found or suspects
+
+
+@dataclass(slots=True)
+class _BoxState:
+    box: Box
+    heard_at: float
+
+
+class BoxView:
+    """Other boxes by name: listed by the platform, confirmed by messages."""
+
+    def __init__(self, me: str, silent_seconds: float = 3.0):
+        self.me = me
+        self.silent_seconds = silent_seconds
+        self._states: dict[str, _BoxState] = {}
+        self._leaving: dict[str, str] = {}
+
+    def set_list(self, boxes: list[Box], now: float) -> None:
+        """Take over the platform's list of boxes; it may be behind."""
+        names = {box.name for box in boxes}
+        for name in set(self._states) - names:
+            del self._states[name]
+        for box in boxes:
+            if box.name == self.me:
+                continue
+            held = self._states.get(box.name)
+            if held is None:
+                self._states[box.name] = _BoxState(box, now)
+            else:
+                held.box = replace(box, incarnation=held.box.incarnation or box.incarnation)
+
+    def heard(self, name: str, incarnation: str, now: float) -> bool:
+        """A message came from a box; True if it started anew since."""
+        state = self._states.get(name)
+        if state is None:
+            return False
+        renewed = bool(state.box.incarnation) and state.box.incarnation != incarnation
+        state.box = replace(state.box, incarnation=incarnation)
+        state.heard_at = now
+        return renewed
+
+    def leaving(self, name: str, incarnation: str) -> None:
+        """A box is stopping; it gets no new responsibilities."""
+        self._leaving[name] = incarnation
+
+    def get(self, name: str) -> Box | None:
+        """The box as listed, with the incarnation last heard."""
+        state = self._states.get(name)
+        return state.box if state else None
+
+    def phase(self, name: str, now: float) -> Phase:
+        """Live if it spoke lately, else suspect; leaving is sticky."""
+        state = self._states.get(name)
+        if state is None:
+            return Phase.GONE
+        leaving = self._leaving.get(name)
+        if state.box.phase is Phase.LEAVING or (leaving and leaving == state.box.incarnation):
+            return Phase.LEAVING
+        if now - state.heard_at > self.silent_seconds:
+            return Phase.SUSPECT
+        return Phase.LIVE
+
+    def peers(self) -> list[Box]:
+        """All other boxes that are listed."""
+        return [state.box for state in self._states.values()]
+
+    def live(self, now: float) -> list[str]:
+        """Names of live boxes, this one among them."""
+        others = [name for name in self._states if self.phase(name, now) is Phase.LIVE]
+        return sorted([*others, self.me])
+
+    def silent(self, now: float) -> list[str]:
+        """Boxes not heard for so long that their told load is void."""
+        return [
+            name
+            for name, state in self._states.items()
+            if now - state.heard_at > self.silent_seconds
+        ]
--- /dev/null
+++ b/packages/messages/seamhold_messages/errors.py
@@ -0,0 +1,311 @@
+"""Every way a call or an operation can fail, each with a stable code.
+
+A code never changes its meaning once released: callers and operators match
+on it.  `docs/OPERATORS.md` lists what to do about each.
+"""
+
+from enum import StrEnum
+
+
+class Ran(StrEnum):
+    """Whether a failed call may have run at an engine."""
+
+    NO = 'no'
+    UNKNOWN = 'unknown'
+
+
+class SeamholdError(Exception):
+    """Base of all failures.
+
+    `code` is stable, `status` is the HTTP status a caller sees, `ran` says
+    whether the call may have run, `retry_after` is in seconds.
+    """
+
+    code = 'error'
+    status = 500
+    ran = Ran.NO
+
+    def __init__(self, detail: str = '', retry_after: float | None = None):
+        super().__init__(detail or self.code)
+        self.detail = detail
+        self.retry_after = retry_after
+
+
+class Internal(SeamholdError):
+    """A fault of seamhold itself; the call may have run."""
+
+    code = 'internal'
+    ran = Ran.UNKNOWN
+
+
+class BoxFull(SeamholdError):
+    """This box answers as many calls as it may; another may have room."""
+
+    code = 'box_full'
+    status = 503
+
+
+# What the caller has to mend.
+
+
+class BadRequest(SeamholdError):
+    """The request is not one this route can read."""
+
+    code = 'bad_request'
+    status = 400
+
+
+class BadJson(BadRequest):
+    """The body is not a JSON object."""
+
+    code = 'bad_json'
+
+
+class Unauthorized(SeamholdError):
+    """The key is missing or names no workspace."""
+
+    code = 'unauthorized'
+    status = 401
+
+
+class BodyTooLarge(SeamholdError):
+    """The body is larger than the route allows."""
+
+    code = 'body_too_large'
+    status = 413
+
+
+class UnknownModel(SeamholdError):
+    """The workspace has no service that serves this model."""
+
+    code = 'unknown_model'
+    status = 404
+
+
+class UnknownService(SeamholdError):
+    """The workspace has no service of this name."""
+
+    code = 'unknown_service'
+    status = 404
+
+
+# Refused before anything was sent to an engine.
+
+
+class NoEngine(SeamholdError):
+    """No live engine serves this service as far as this box knows."""
+
+    code = 'no_engine'
+    status = 503
+
+
+class FleetFull(SeamholdError):
+    """Every engine of the service is at its slots and the queue is full."""
+
+    code = 'fleet_full'
+    status = 503
+
+
+class WorkspaceLimit(SeamholdError):
+    """The workspace is at its limit."""
+
+    code = 'workspace_limit'
+    status = 429
+
+
+class DeadlineUnmeetable(SeamholdError):
+    """The queue is longer than the time the caller left."""
+
+    code = 'deadline_unmeetable'
+    status = 503
+
+
+class DeadlinePassed(SeamholdError):
+    """The caller's time ran out while the call was still waiting."""
+
+    code = 'deadline_passed'
+    status = 504
+
+
+class NotReady(SeamholdError):
+    """The box has no settings yet, or it is stopping."""
+
+    code = 'not_ready'
+    status = 503
+
+
+class RetryBudgetSpent(SeamholdError):
+    """Nothing ran, and this box has no retries left to spend on it."""
+
+    code = 'retry_budget_spent'
+    status = 503
+
+
+class EngineUnreachable(SeamholdError):
+    """The engine took no connection, so nothing was sent."""
+
+    code = 'engine_unreachable'
+    status = 502
+
+
+class EngineRefused(SeamholdError):
+    """The engine said that it did not run the call."""
+
+    code = 'engine_refused'
+    status = 503
+
+
+class ClaimsUnavailable(SeamholdError):
+    """The platform could not record the call's key, so it was not sent."""
+
+    code = 'claims_unavailable'
+    status = 503
+
+
+class ClaimsFull(SeamholdError):
+    """The bucket of recorded keys has no room until older ones expire."""
+
+    code = 'claims_full'
+    status = 503
+
+
+class TicketsFull(SeamholdError):
+    """The box holds as many open tickets as it may."""
+
+    code = 'tickets_full'
+    status = 503
+
+
+# The call may have run.
+
+
+class EngineFailed(SeamholdError):
+    """The engine answered with an error, or the connection broke."""
+
+    code = 'engine_failed'
+    status = 502
+    ran = Ran.UNKNOWN
+
+
+class AnswerTimeout(SeamholdError):
+    """The engine did not answer within the caller's time."""
+
+    code = 'answer_timeout'
+    status = 504
+    ran = Ran.UNKNOWN
+
+
+class AnswerCut(SeamholdError):
+    """The answer ended before it was whole."""
+
+    code = 'answer_cut'
+    status = 502
+    ran = Ran.UNKNOWN
+
+
+class AnswerMismatch(SeamholdError):
+    """The engine answered with the id of another request."""
+
+    code = 'answer_mismatch'
+    status = 502
+    ran = Ran.UNKNOWN
+
+
+class KeyInUse(SeamholdError):
+    """An earlier arrival with this idempotency key was sent to an engine."""
+
+    code = 'key_in_use'
+    status = 409
+    ran = Ran.UNKNOWN
+
+
+class KeyMismatch(SeamholdError):
+    """The idempotency key or ticket came before with another body."""
+
+    code = 'key_mismatch'
+    status = 422
+    ran = Ran.UNKNOWN
+
+
+class TicketUnknown(SeamholdError):
+    """No living box remembers this ticket; it is never run again."""
+
+    code = 'ticket_unknown'
+    status = 409
+    ran = Ran.UNKNOWN
+
+
+class TicketUnreachable(SeamholdError):
+    """The box that holds the ticket does not answer now."""
+
+    code = 'ticket_unreachable'
+    status = 503
+    ran = Ran.UNKNOWN
+
+
+# Operators and the platform.
+
+
+class SettingsInvalid(SeamholdError):
+    """A tree or box file breaks the schema; `detail` names path and rule."""
+
+    code = 'settings_invalid'
+    status = 422
+
+
+class SettingsConflict(SeamholdError):
+    """Another operator changed the object first; nothing was written."""
+
+    code = 'settings_conflict'
+    status = 409
+
+
+class PlatformUnavailable(SeamholdError):
+    """The platform's object API did not answer; a write may have landed."""
+
+    code = 'platform_unavailable'
+    status = 503
+
+
+class PlatformConflict(SeamholdError):
+    """The object's version moved on before the conditional write."""
+
+    code = 'platform_conflict'
+    status = 409
+
+
+class PlatformGone(SeamholdError):
+    """The watch asked for a version the platform no longer keeps."""
+
+    code = 'platform_gone'
+    status = 410
+
+
+class PlatformNotFound(SeamholdError):
+    """The platform has no such object."""
+
+    code = 'platform_not_found'
+    status = 404
+
+
+class PlatformThrottled(PlatformUnavailable):
+    """The platform asks its callers to come back later."""
+
+    code = 'platform_throttled'
+
+
+def _codes(kind: type[SeamholdError]) -> dict[str, type[SeamholdError]]:
+    found = {kind.code: kind}
+    for child in kind.__subclasses__():
+        found |= _codes(child)
+    return found
+
+
+#: Each stable code and the type that carries it.
+ERRORS_BY_CODE = _codes(SeamholdError)
+
+
+def error_from(code: str, detail: str = '', retry_after: float | None = None):
+    """Rebuild a failure that crossed the wire; unknown codes stay failures."""
+    kind = ERRORS_BY_CODE.get(code, EngineFailed)
+    return kind(detail, retry_after)
--- /dev/null
+++ b/packages/messages/seamhold_messages/fleet.py
@@ -0,0 +1,42 @@
+"""What the parts say about boxes and engines."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Phase(StrEnum):
+    """How far a box or an engine may be given new work."""
+
+    LIVE = 'live'
+    SUSPECT = 'suspect'
+    LEAVING = 'leaving'
+    GONE = 'gone'
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """One back end as the platform's list names it.
+
+    `incarnation` changes each time the engine starts, `slots` is how many
+    calls it takes at once, `weight` its share relative to its siblings.
+    """
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str = ''
+    incarnation: str = ''
+    slots: int = 64
+    weight: float = 1.0
+    phase: Phase = Phase.LIVE
+
+
+@dataclass(frozen=True, slots=True)
+class Box:
+    """One router box; `peer_address` is `ip:port` of its peer server."""
+
+    name: str
+    peer_address: str
+    failure_domain: str = ''
+    incarnation: str = ''
+    phase: Phase = Phase.LIVE
--- /dev/null
+++ b/packages/messages/seamhold_messages/hashing.py
@@ -0,0 +1,18 @@
+"""Hashes that all boxes compute alike (xxHash), of text."""
+
+from xxhash import xxh3_64_intdigest, xxh3_128_hexdigest, xxh32_intdigest
+
+
+def hash32(text: str) -> int:
+    """32 bits."""
+    return xxh32_intdigest(text.encode())
+
+
+def hash64(text: str) -> int:
+    """64 bits."""
+    return xxh3_64_intdigest(text.encode())
+
+
+def hash128(text: str) -> str:
+    """128 bits, as 32 hexadecimal digits."""
+    return xxh3_128_hexdigest(text.encode())
--- /dev/null
+++ b/packages/messages/seamhold_messages/work.py
@@ -0,0 +1,88 @@
+"""What the parts say about a call and the work it brings."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Priority(IntEnum):
+    """Order in a queue; lower goes first."""
+
+    INTERACTIVE = 0
+    NORMAL = 1
+    BULK = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Work in flight: calls, and the tokens estimated for them at dispatch."""
+
+    requests: int = 0
+    tokens: int = 0
+
+    def __add__(self, other: 'Work') -> 'Work':
+        return Work(self.requests + other.requests, self.tokens + other.tokens)
+
+    def __sub__(self, other: 'Work') -> 'Work':
+        return Work(self.requests - other.requests, self.tokens - other.tokens)
+
+
+NO_WORK = Work()
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """One workspace on one box: work in flight and the calls it wants."""
+
+    work: Work = NO_WORK
+    demand: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call that asks for a place.
+
+    `chat` is the salted key that ranks engines; `deadline` is in seconds on
+    the clock of the box that decides; `hint` is the rank that served the
+    chat's last turn, or None; `excluded` holds engines already tried.
+    """
+
+    id: str
+    workspace: str
+    service: str
+    chat: str
+    work: Work
+    deadline: float
+    priority: Priority = Priority.NORMAL
+    hint: int | None = None
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """The call goes to `engine`, which stands at `rank` for its chat."""
+
+    call_id: str
+    engine: str
+    address: str
+    rank: int
+    spilled: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The call was not sent; `code` is one of `errors.ERRORS_BY_CODE`."""
+
+    call_id: str
+    code: str
+    detail: str = ''
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """The call waits; `Placed` or `Refused` follows."""
+
+    call_id: str
+
+
+Decision = Placed | Refused | Queued
--- /dev/null
+++ b/packages/peers/seamhold_peers/calls.py
@@ -0,0 +1,77 @@
+"""What boxes ask of one another besides digests."""
+
+from dataclasses import dataclass
+
+from seamhold_attempts.claims import ClaimState
+from seamhold_messages.errors import SeamholdError
+from seamhold_messages.fleet import Box, Engine
+
+
+@dataclass(frozen=True, slots=True)
+class FleetLists:
+    """The platform's lists as a box last saw them."""
+
+    engines: list[Engine]
+    boxes: list[Box]
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """One HTTP header."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedCall:
+    """A caller's request on its way to the box that holds its ticket.
+
+    `remaining` is what the caller's deadline leaves, in seconds: the box
+    that receives it sets it against its own clock.
+    """
+
+    request_id: str
+    workspace: str
+    ticket: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    remaining: float
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of a relayed answer."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The relayed answer is whole, or failed with `error`."""
+
+    error: SeamholdError | None = None
+
+
+AnswerPart = AnswerHead | bytes | AnswerEnd
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAsk:
+    """One key that a call wants to own; `wait` is in seconds."""
+
+    bucket: int
+    key: str
+    owner: str
+    body_hash: str
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswer:
+    """What became of a key."""
+
+    state: ClaimState
--- /dev/null
+++ b/packages/peers/seamhold_peers/client.py
@@ -0,0 +1,97 @@
+"""One box's connection to one peer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from seamhold_attempts.claims import ClaimState
+from seamhold_messages.errors import ClaimsUnavailable, TicketUnreachable
+from seamhold_settings.versions import Candidate
+
+from . import codec
+from .calls import AnswerPart, ClaimAsk, FleetLists, RelayedCall
+from .generated import peers_pb2 as pb
+from .generated.peers_grpc import PeersStub
+
+#: What a broken or refused connection to a peer raises.
+BROKEN = (OSError, GRPCError, ProtocolError, StreamTerminatedError, asyncio.TimeoutError)
+PULL_SECONDS = 3.0
+TELL_SECONDS = 1.0
+
+
+class PeerClient:
+    """Calls to the box at `address` (`ip:port`)."""
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(':')
+        self.address = address
+        self._channel = Channel(host, int(port))
+        self._stub = PeersStub(self._channel)
+        self._tell = None
+
+    async def tell(self, part: pb.DigestPart) -> None:
+        """Send a digest on the stream to the peer; raises one of BROKEN."""
+        async with asyncio.timeout(TELL_SECONDS):
+            if self._tell is None:
+                stream = self._stub.Tell.open()
+                await stream.__aenter__()
+                self._tell = stream
+            await self._tell.send_message(part)
+
+    @property
+    def telling(self) -> bool:
+        """Whether a stream is open, so that a digest may be a short one."""
+        return self._tell is not None
+
+    async def reset(self) -> None:
+        """Drop the stream after a failure."""
+        stream, self._tell = self._tell, None
+        if stream is None:
+            return
+        try:
+            await stream.cancel()
+        except BROKEN:
+            pass
+
+    async def pull_settings(self, known: dict[str, int]) -> list[Candidate]:
+        """Settings objects that the peer has newer; raises one of BROKEN."""
+        async with asyncio.timeout(PULL_SECONDS):
+            page = await self._stub.PullSettings(pb.SettingsKnown(revisions=known))
+        return [codec.decode_candidate(item) for item in page.objects]
+
+    async def pull_lists(self) -> FleetLists:
+        """The platform's lists as the peer saw them; raises one of BROKEN."""
+        async with asyncio.timeout(PULL_SECONDS):
+            return codec.decode_lists(await self._stub.PullLists(pb.ListsWanted()))
+
+    async def relay(self, call: RelayedCall) -> AsyncIterator[AnswerPart]:
+        """Pass a call to the box that holds its ticket.
+
+        Raises TicketUnreachable when the peer is not there or breaks off.
+        """
+        try:
+            async with (
+                asyncio.timeout(call.remaining),
+                self._stub.Dispatch.open() as stream,
+            ):
+                await stream.send_message(codec.encode_call(call), end=True)
+                async for part in stream:
+                    yield codec.decode_answer(part)
+        except BROKEN as error:
+            raise TicketUnreachable('the box that holds the ticket does not answer') from error
+
+    async def claim(self, ask: ClaimAsk) -> ClaimState:
+        """Have the peer write a claim; raises ClaimsUnavailable."""
+        try:
+            async with asyncio.timeout(ask.wait):
+                reply = await self._stub.Claim(codec.encode_claim(ask))
+        except BROKEN as error:
+            raise ClaimsUnavailable(f'the box that writes the bucket: {error}') from error
+        return ClaimState(reply.state)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._tell = None
+        self._channel.close()
--- /dev/null
+++ b/packages/peers/seamhold_peers/codec.py
@@ -0,0 +1,271 @@
+"""Digests and calls to protocol buffers and back.
+
+Names of engines and workspaces travel as 32-bit hashes; both sides know the
+names from the platform's list and the settings.  A hash that is not known
+yet is left out: the entry comes again with the next full digest.
+"""
+
+import json
+from collections.abc import Iterable
+
+from seamhold_membership import Digest, Event, EventKind
+from seamhold_messages.errors import error_from
+from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_messages.hashing import hash32
+from seamhold_messages.work import Usage, Work
+from seamhold_settings.versions import Candidate
+
+from .calls import (
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    ClaimAsk,
+    FleetLists,
+    Header,
+    RelayedCall,
+)
+from .generated import peers_pb2 as pb
+
+#: Bytes around one message: HTTP/2 frame 9, gRPC prefix 5, TCP and IP 52,
+#: and a bare acknowledgement from the peer, 52.
+MESSAGE_OVERHEAD_BYTES = 118
+TENTHS = 10
+
+
+class NameTable:
+    """Names by their 32-bit hash."""
+
+    def __init__(self):
+        self._names: dict[int, str] = {}
+
+    def add(self, names: Iterable[str]) -> None:
+        """Make these names readable."""
+        for name in names:
+            self._names[self.key(name)] = name
+
+    @staticmethod
+    def key(name: str) -> int:
+        """The hash that a name travels as."""
+        return hash32(name)
+
+    def name(self, key: int) -> str | None:
+        """The name behind a hash, if it is known here."""
+        return self._names.get(key)
+
+
+def encode_digest(digest: Digest, first: bool) -> pb.DigestPart:
+    """A digest as it travels; the first of a stream names its box."""
+    part = pb.DigestPart(
+        full=digest.full,
+        leaving=digest.leaving,
+        settings_total=digest.settings_total,
+        settings_print=digest.settings_print,
+    )
+    if first:
+        part.box = digest.box
+        part.incarnation = digest.incarnation
+    for name, work in digest.loads.items():
+        part.engines.append(NameTable.key(name))
+        part.engine_requests.append(work.requests)
+        part.engine_tokens.append(work.tokens)
+    for name, usage in digest.usage.items():
+        part.workspaces.append(NameTable.key(name))
+        part.workspace_requests.append(usage.work.requests)
+        part.workspace_tokens.append(usage.work.tokens)
+        part.workspace_demand_tenths.append(round(usage.demand * TENTHS))
+    for event in digest.events:
+        part.events.add(
+            kind=event.kind,
+            subject=event.subject,
+            incarnation=event.incarnation,
+            origin=event.origin,
+        )
+    return part
+
+
+def decode_digest(part: pb.DigestPart, box: str, incarnation: str, names: NameTable) -> Digest:
+    """A digest as it was meant by `box`."""
+    loads = zip(part.engines, part.engine_requests, part.engine_tokens, strict=False)
+    usage = zip(
+        part.workspaces,
+        part.workspace_requests,
+        part.workspace_tokens,
+        part.workspace_demand_tenths,
+        strict=False,
+    )
+    return Digest(
+        box,
+        incarnation,
+        part.full,
+        part.leaving,
+        {
+            name: Work(requests, tokens)
+            for key, requests, tokens in loads
+            if (name := names.name(key))
+        },
+        {
+            name: Usage(Work(requests, tokens), tenths / TENTHS)
+            for key, requests, tokens, tenths in usage
+            if (name := names.name(key))
+        },
+        part.settings_total,
+        part.settings_print,
+        [_decode_event(event) for event in part.events if event.kind in list(EventKind)],
+    )
+
+
+def _decode_event(event: pb.EventPart) -> Event:
+    return Event(EventKind(event.kind), event.subject, event.incarnation, event.origin)
+
+
+def encode_candidate(candidate: Candidate) -> pb.SettingsObject:
+    """A settings object as it travels."""
+    return pb.SettingsObject(
+        name=candidate.name,
+        revision=candidate.revision,
+        edit_id=candidate.edit_id,
+        spec_json=json.dumps(candidate.spec).encode(),
+        deleted=candidate.deleted,
+        ancestors=candidate.ancestors,
+    )
+
+
+def decode_candidate(item: pb.SettingsObject) -> Candidate:
+    """A settings object as a peer has it in force."""
+    spec = json.loads(item.spec_json or b'{}')
+    ancestors = tuple(item.ancestors)
+    return Candidate(item.name, item.revision, item.edit_id, spec, item.deleted, ancestors)
+
+
+def encode_lists(lists: FleetLists) -> pb.Lists:
+    """The platform's lists as they travel."""
+    return pb.Lists(
+        engines=[
+            pb.ListedEngine(
+                name=engine.name,
+                service=engine.service,
+                address=engine.address,
+                failure_domain=engine.failure_domain,
+                incarnation=engine.incarnation,
+                slots=engine.slots,
+                weight=engine.weight,
+                phase=engine.phase,
+            )
+            for engine in lists.engines
+        ],
+        boxes=[
+            pb.ListedBox(
+                name=box.name,
+                peer_address=box.peer_address,
+                failure_domain=box.failure_domain,
+                phase=box.phase,
+            )
+            for box in lists.boxes
+        ],
+    )
+
+
+def decode_lists(lists: pb.Lists) -> FleetLists:
+    """The platform's lists as a peer saw them."""
+    engines = [
+        Engine(
+            item.name,
+            item.service,
+            item.address,
+            item.failure_domain,
+            item.incarnation,
+            item.slots,
+            item.weight,
+            Phase(item.phase),
+        )
+        for item in lists.engines
+    ]
+    boxes = [
+        Box(item.name, item.peer_address, item.failure_domain, '', Phase(item.phase))
+        for item in lists.boxes
+    ]
+    return FleetLists(engines, boxes)
+
+
+def encode_headers(headers: Iterable[Header]) -> list[pb.Header]:
+    """HTTP headers as they travel."""
+    return [pb.Header(name=header.name, value=header.value) for header in headers]
+
+
+def decode_headers(headers: Iterable[pb.Header]) -> tuple[Header, ...]:
+    """HTTP headers as they were."""
+    return tuple(Header(header.name, header.value) for header in headers)
+
+
+def encode_call(call: RelayedCall) -> pb.TicketedCall:
+    """A relayed call as it travels."""
+    return pb.TicketedCall(
+        request_id=call.request_id,
+        workspace=call.workspace,
+        ticket=call.ticket,
+        method=call.method,
+        path=call.path,
+        headers=encode_headers(call.headers),
+        body=call.body,
+        remaining_seconds=call.remaining,
+    )
+
+
+def decode_call(part: pb.TicketedCall) -> RelayedCall:
+    """A relayed call as the box that holds its ticket sees it."""
+    return RelayedCall(
+        part.request_id,
+        part.workspace,
+        part.ticket,
+        part.method,
+        part.path,
+        decode_headers(part.headers),
+        part.body,
+        part.remaining_seconds,
+    )
+
+
+def encode_answer(part: AnswerPart) -> pb.AnswerPart:
+    """A part of a relayed answer as it travels."""
+    if isinstance(part, bytes):
+        return pb.AnswerPart(data=part)
+    if isinstance(part, AnswerHead):
+        head = pb.AnswerHead(status=part.status, headers=encode_headers(part.headers))
+        return pb.AnswerPart(head=head)
+    if part.error is None:
+        return pb.AnswerPart(whole=True)
+    error = part.error
+    return pb.AnswerPart(
+        error=pb.AnswerError(
+            code=error.code, detail=error.detail, retry_after=error.retry_after or 0.0
+        )
+    )
+
+
+def decode_answer(part: pb.AnswerPart) -> AnswerPart:
+    """A part of a relayed answer as the first box passes it on."""
+    kind = part.WhichOneof('part')
+    if kind == 'data':
+        return part.data
+    if kind == 'head':
+        return AnswerHead(part.head.status, decode_headers(part.head.headers))
+    if kind == 'whole':
+        return AnswerEnd()
+    error = part.error
+    return AnswerEnd(error_from(error.code, error.detail, error.retry_after or None))
+
+
+def encode_claim(ask: ClaimAsk) -> pb.ClaimRequest:
+    """A claim as it travels to the box that writes its bucket."""
+    return pb.ClaimRequest(
+        bucket=ask.bucket,
+        key=ask.key,
+        owner=ask.owner,
+        body_hash=ask.body_hash,
+        wait_seconds=ask.wait,
+    )
+
+
+def decode_claim(part: pb.ClaimRequest) -> ClaimAsk:
+    """A claim as the box that writes its bucket sees it."""
+    return ClaimAsk(part.bucket, part.key, part.owner, part.body_hash, part.wait_seconds)
--- /dev/null
+++ b/packages/peers/seamhold_peers/server.py
@@ -0,0 +1,98 @@
+"""The peer port of a box."""
+
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from seamhold_attempts.claims import ClaimState
+from seamhold_membership import Digest
+from seamhold_messages.errors import SeamholdError
+from seamhold_settings.versions import Candidate
+
+from . import codec
+from .calls import AnswerPart, ClaimAsk, FleetLists, RelayedCall
+from .generated import peers_pb2 as pb
+from .generated.peers_grpc import PeersBase
+
+
+class PeerHandler(Protocol):
+    """What a box does with what its peers send."""
+
+    async def heard(self, digest: Digest) -> None:
+        """A peer told its state."""
+
+    async def newer_settings(self, known: dict[str, int]) -> list[Candidate]:
+        """Objects in force here that are ahead of `known`."""
+
+    async def lists(self) -> FleetLists:
+        """The platform's lists as this box last saw them."""
+
+    def relayed(self, call: RelayedCall) -> AsyncIterator[AnswerPart]:
+        """A call whose ticket this box may hold."""
+
+    async def claim(self, ask: ClaimAsk) -> ClaimState:
+        """A key to be written to a bucket; raises SeamholdError."""
+
+
+class PeerService(PeersBase):
+    """The generated service, bound to a handler."""
+
+    def __init__(self, handler: PeerHandler, names: codec.NameTable):
+        self._handler = handler
+        self._names = names
+
+    async def Tell(self, stream) -> None:
+        """Digests of one peer, in order, until its stream ends."""
+        box = incarnation = ''
+        async for part in stream:
+            box = part.box or box
+            incarnation = part.incarnation or incarnation
+            digest = codec.decode_digest(part, box, incarnation, self._names)
+            await self._handler.heard(digest)
+        await stream.send_message(pb.Heard())
+
+    async def PullSettings(self, stream) -> None:
+        """Objects that are newer here."""
+        known = await stream.recv_message()
+        newer = await self._handler.newer_settings(dict(known.revisions))
+        page = pb.SettingsPage(objects=[codec.encode_candidate(item) for item in newer])
+        await stream.send_message(page)
+
+    async def PullLists(self, stream) -> None:
+        """The lists, for a box that cannot read them itself."""
+        await stream.recv_message()
+        await stream.send_message(codec.encode_lists(await self._handler.lists()))
+
+    async def Dispatch(self, stream) -> None:
+        """Run a ticketed call and pass its answer back as it comes."""
+        call = codec.decode_call(await stream.recv_message())
+        async for part in self._handler.relayed(call):
+            await stream.send_message(codec.encode_answer(part))
+
+    async def Claim(self, stream) -> None:
+        """Write a claim, together with others of its bucket."""
+        ask = codec.decode_claim(await stream.recv_message())
+        try:
+            state = await self._handler.claim(ask)
+        except SeamholdError as error:
+            raise GRPCError(Status.UNAVAILABLE, error.code) from error
+        await stream.send_message(pb.ClaimReply(state=state))
+
+
+class PeerServer:
+    """Listens for peers on one address."""
+
+    def __init__(self, handler: PeerHandler, names: codec.NameTable):
+        self._server = Server([PeerService(handler, names)])
+
+    async def start(self, host: str, port: int) -> None:
+        """Begin to listen."""
+        await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Stop listening and end the streams."""
+        self._server.close()
+        await self._server.wait_closed()
--- /dev/null
+++ b/packages/platform/seamhold_platform/client.py
@@ -0,0 +1,143 @@
+"""The platform over urllib3: list, get, conditional put, watch.
+
+Nothing here retries: a write whose answer was lost may have landed, and only
+the caller knows how to tell.  It raises PlatformUnavailable for that.
+"""
+
+import json
+from collections import Counter
+from collections.abc import Iterator
+
+import urllib3
+
+from seamhold_messages.errors import (
+    PlatformConflict,
+    PlatformGone,
+    PlatformNotFound,
+    PlatformThrottled,
+    PlatformUnavailable,
+)
+
+from .objects import ObjectKind, Page, PlatformObject, WatchEvent, WatchKind
+
+API_ROOT = '/apis/seamhold/v1'
+CONNECT_SECONDS = 1.0
+ANSWER_SECONDS = 3.0
+WATCH_SECONDS = 20.0
+#: A watch that is silent for longer than it asked for is dead.
+WATCH_SLACK_SECONDS = 5.0
+STATUS_ERRORS = {
+    404: PlatformNotFound,
+    409: PlatformConflict,
+    410: PlatformGone,
+    429: PlatformThrottled,
+}
+READ_CHUNK_BYTES = 64 * 1024
+
+
+class PlatformClient:
+    """One box's connection to the object API.
+
+    `calls` counts calls by verb; a waiting watch is one.
+    """
+
+    def __init__(self, url: str, pool_size: int = 4):
+        self.url = url.rstrip('/')
+        self.calls: Counter[str] = Counter()
+        self._pool = urllib3.PoolManager(
+            maxsize=pool_size,
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS),
+        )
+
+    def _path(self, kind: ObjectKind, name: str = '') -> str:
+        path = f'{self.url}{API_ROOT}/{kind}'
+        return f'{path}/{name}' if name else path
+
+    def _call(self, verb: str, method: str, path: str, body: dict | None = None, **extra):
+        self.calls[verb] += 1
+        try:
+            answer = self._pool.request(method, path, json=body, **extra)
+        except urllib3.exceptions.HTTPError as error:
+            raise PlatformUnavailable(f'{verb}: {error}') from error
+        if answer.status >= 400:
+            raise self._error(verb, answer)
+        return answer
+
+    def _error(self, verb: str, answer):
+        kind = STATUS_ERRORS.get(answer.status, PlatformUnavailable)
+        answer.drain_conn()
+        answer.release_conn()
+        return kind(f'{verb}: the platform answered {answer.status}')
+
+    def _json(self, verb: str, answer) -> dict:
+        try:
+            return answer.json()
+        except (ValueError, urllib3.exceptions.HTTPError) as error:
+            raise PlatformUnavailable(f'{verb}: unreadable answer') from error
+
+    def list(self, kind: ObjectKind) -> Page:
+        """All objects of a kind, and the version to watch from."""
+        value = self._json('list', self._call('list', 'GET', self._path(kind)))
+        objects = [PlatformObject.from_wire(item) for item in value.get('items', [])]
+        return Page(objects, str(value.get('metadata', {}).get('resourceVersion', '')))
+
+    def get(self, kind: ObjectKind, name: str) -> PlatformObject:
+        """One object, or PlatformNotFound."""
+        value = self._json('get', self._call('get', 'GET', self._path(kind, name)))
+        return PlatformObject.from_wire(value)
+
+    def put(self, kind: ObjectKind, item: PlatformObject) -> PlatformObject:
+        """Write if the object is still at `item.version`; '' means it is new.
+
+        Raises PlatformConflict if it is not, PlatformUnavailable if nothing
+        is known of the write.
+        """
+        if item.version:
+            path, method = self._path(kind, item.name), 'PUT'
+        else:
+            path, method = self._path(kind), 'POST'
+        answer = self._call('put', method, path, item.to_wire())
+        return PlatformObject.from_wire(self._json('put', answer))
+
+    def watch(self, kind: ObjectKind, version: str) -> Iterator[WatchEvent]:
+        """Changes after `version`, until the platform ends the watch.
+
+        Raises PlatformGone when the version is too old: list again.
+        """
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=WATCH_SECONDS + WATCH_SLACK_SECONDS)
+        fields = {
+            'watch': '1',
+            'resourceVersion': version,
+            'timeoutSeconds': str(int(WATCH_SECONDS)),
+        }
+        answer = self._call(
+            'watch',
+            'GET',
+            self._path(kind),
+            fields=fields,
+            timeout=timeout,
+            preload_content=False,
+        )
+        try:
+            yield from self._events(answer)
+        except (ValueError, urllib3.exceptions.HTTPError) as error:
+            raise PlatformUnavailable(f'watch: {error}') from error
+        finally:
+            answer.close()
+
+    def _events(self, answer) -> Iterator[WatchEvent]:
+        pending = b''
+        while chunk := answer.read1(READ_CHUNK_BYTES):
+            *lines, pending = (pending + chunk).split(b'\n')
+            for line in filter(None, lines):
+                yield self._event(json.loads(line))
+
+    def _event(self, value: dict) -> WatchEvent:
+        if value.get('type') == 'ERROR':
+            raise PlatformGone('watch: the version is too old')
+        return WatchEvent(WatchKind(value['type']), PlatformObject.from_wire(value['object']))
+
+    def close(self) -> None:
+        """Drop all connections."""
+        self._pool.clear()
--- /dev/null
+++ b/packages/router/seamhold/__main__.py
@@ -0,0 +1,15 @@
+"""Entry point of the program."""
+
+import sys
+
+from .context import Environment
+from .core import run
+
+
+def main() -> None:
+    """Run the command line and leave with its exit status."""
+    sys.exit(run(Environment(), sys.argv[1:]))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/router/seamhold/callers.py
@@ -0,0 +1,211 @@
+"""From what a caller sent to a call that can be placed."""
+
+import hashlib
+import json
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from seamhold_messages.errors import (
+    BadJson,
+    BadRequest,
+    BodyTooLarge,
+    Unauthorized,
+    UnknownModel,
+    UnknownService,
+)
+from seamhold_messages.work import Call, Priority, Work
+from seamhold_settings import ResolvedRoute, ServiceKind, Tree, resolve
+from seamhold_settings.resolve import service_of_model
+
+from . import headers as names
+from .engines import EngineRequest
+
+BYTES_PER_TOKEN = 4
+CHAT_PATH = '/v1/chat/completions'
+SERVICES_PREFIX = '/services/'
+BEARER = 'bearer '
+#: Largest body of any route; a route's own limit is usually lower.
+BODY_MAX_BYTES = 64 * 1024 * 1024
+KEY_MAX_CHARS = 255
+FIRST_MESSAGES = 2
+HINT_MAX = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """A caller's request, from the entry port or relayed by a peer.
+
+    `deadline` is in seconds on this box's clock.
+    """
+
+    id: str
+    workspace: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Prepared:
+    """A request read and checked against the settings in force."""
+
+    call: Call
+    request: EngineRequest
+    route: ResolvedRoute
+    repeatable: bool
+    streamed: bool
+    idempotency_key: str
+    ticket: str
+    body_hash: str
+
+
+def hash_key(key: str) -> str:
+    """How a caller's key is written in the settings."""
+    return 'sha256:' + hashlib.sha256(key.encode()).hexdigest()
+
+
+def authenticate(tree: Tree, authorization: str) -> str:
+    """The workspace that a bearer key names, or Unauthorized."""
+    if not authorization.lower().startswith(BEARER):
+        raise Unauthorized('send "Authorization: Bearer KEY"')
+    wanted = hash_key(authorization[len(BEARER) :].strip())
+    found = [name for name, space in tree.workspaces.items() if wanted in space.keys]
+    # A key that two workspaces name would let one act as the other.
+    if len(found) != 1:
+        raise Unauthorized('this key names no workspace')
+    return found[0]
+
+
+def prepare(tree: Tree, incoming: Incoming, now: float) -> Prepared:
+    """Read a chat or a plain call; raises what the caller has to mend."""
+    if incoming.path == CHAT_PATH:
+        return _chat(tree, incoming, now)
+    if incoming.path.startswith(SERVICES_PREFIX):
+        return _plain(tree, incoming, now)
+    raise UnknownService('there is no such page')
+
+
+def _json_object(body: bytes) -> dict:
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise BadJson(f'the body is not JSON: {error}') from error
+    if not isinstance(value, dict):
+        raise BadJson('the body is not a JSON object')
+    return value
+
+
+def _chat(tree: Tree, incoming: Incoming, now: float) -> Prepared:
+    value = _json_object(incoming.body)
+    model = value.get('model')
+    messages = value.get('messages')
+    if not isinstance(model, str) or not isinstance(messages, list):
+        raise BadRequest('"model" must be a text and "messages" a list')
+    service = service_of_model(tree, model)
+    route = service and resolve(tree, incoming.workspace, service, _route_name(incoming))
+    if not route:
+        raise UnknownModel(f'this workspace has no model {model!r}')
+    value['cache_salt'] = cache_salt(incoming.workspace)
+    chat = value.get('prompt_cache_key') or incoming.headers.get(names.CHAT)
+    work = Work(1, _tokens(value, incoming, route))
+    body = json.dumps(value).encode()
+    sent_headers = {'Content-Type': 'application/json'}
+    request = EngineRequest(incoming.id, 'POST', CHAT_PATH, sent_headers, body)
+    call = _call(incoming, route, str(chat or _first_messages(messages)), work, now)
+    return _prepared(incoming, call, request, route, value.get('stream') is True)
+
+
+def _plain(tree: Tree, incoming: Incoming, now: float) -> Prepared:
+    service, _, rest = incoming.path.removeprefix(SERVICES_PREFIX).partition('/')
+    name = service.partition('?')[0]
+    route = resolve(tree, incoming.workspace, name, rest.partition('?')[0])
+    if route is None or route.kind is not ServiceKind.PLAIN:
+        raise UnknownService(f'this workspace has no service {name!r}')
+    sent_headers = names.towards_engine(incoming.headers)
+    sent_headers[names.WORKSPACE] = incoming.workspace
+    path = f'/{rest}'
+    request = EngineRequest(incoming.id, incoming.method, path, sent_headers, incoming.body)
+    work = Work(1, 1 + len(incoming.body) // BYTES_PER_TOKEN)
+    chat = incoming.headers.get(names.CHAT) or incoming.id
+    call = _call(incoming, route, chat, work, now)
+    return _prepared(incoming, call, request, route, False)
+
+
+def _route_name(incoming: Incoming) -> str:
+    return incoming.headers.get(names.ROUTE, '')
+
+
+def cache_salt(workspace: str) -> str:
+    """What keeps one workspace's prompts from being reused by another."""
+    return hashlib.sha256(f'seamhold\0{workspace}'.encode()).hexdigest()[:32]
+
+
+def _first_messages(messages: list) -> str:
+    """A name for a chat that has none: it begins alike on every turn."""
+    text = json.dumps(messages[:FIRST_MESSAGES], sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _tokens(value: dict, incoming: Incoming, route: ResolvedRoute) -> int:
+    """Tokens of work expected, as far as it is known at dispatch."""
+    asked = value.get('max_completion_tokens') or value.get('max_tokens')
+    if asked is not None and (not isinstance(asked, int) or isinstance(asked, bool) or asked < 1):
+        raise BadRequest('"max_tokens" must be a whole number above 0')
+    output = asked or route.policy.expected_output_tokens
+    return len(incoming.body) // BYTES_PER_TOKEN + output
+
+
+def _call(incoming: Incoming, route: ResolvedRoute, chat: str, work: Work, now: float) -> Call:
+    if len(incoming.body) > route.policy.max_body_bytes:
+        raise BodyTooLarge(f'this route takes {route.policy.max_body_bytes} bytes')
+    return Call(
+        incoming.id,
+        incoming.workspace,
+        route.service,
+        f'{incoming.workspace}\0{route.service}\0{chat}',
+        work,
+        now + _timeout(incoming, route.policy.deadline),
+        Priority(route.policy.priority),
+        _hint(incoming),
+    )
+
+
+def _timeout(incoming: Incoming, most: float) -> float:
+    """The caller's time in seconds; it can only shorten the route's."""
+    text = incoming.headers.get(names.TIMEOUT)
+    if not text:
+        return most
+    try:
+        asked = float(text)
+    except ValueError:
+        asked = math.nan
+    if not math.isfinite(asked) or asked <= 0:
+        raise BadRequest(f'{names.TIMEOUT} must be a number of seconds above 0')
+    return min(asked, most)
+
+
+def _hint(incoming: Incoming) -> int | None:
+    text = incoming.headers.get(names.CHAT_HINT, '')
+    if not text.isascii() or not text.isdigit() or int(text[:4]) > HINT_MAX:
+        return None
+    return int(text)
+
+
+def _prepared(
+    incoming: Incoming, call: Call, request: EngineRequest, route: ResolvedRoute, streamed: bool
+) -> Prepared:
+    key = incoming.headers.get(names.IDEMPOTENCY_KEY, '')
+    if len(key) > KEY_MAX_CHARS:
+        raise BadRequest(f'{names.IDEMPOTENCY_KEY} has at most {KEY_MAX_CHARS} characters')
+    marked = incoming.headers.get(names.REPEATABLE, '').lower()
+    if marked not in ('', 'yes', 'no'):
+        raise BadRequest(f'{names.REPEATABLE} is "yes" or "no"')
+    ticket = incoming.headers.get(names.TICKET, '')
+    # A ticket is asked for when a call must not run twice.
+    repeatable = route.policy.repeatable and marked != 'no' and not ticket
+    body_hash = hashlib.sha256(
+        f'{incoming.method}\0{incoming.path}\0'.encode() + incoming.body
+    ).hexdigest()[:32]
+    return Prepared(call, request, route, repeatable, streamed, key, ticket, body_hash)
--- /dev/null
+++ b/packages/router/seamhold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/packages/router/seamhold/cli/definition.py
@@ -0,0 +1,148 @@
+"""The commands, as fire shows them."""
+
+from pathlib import Path
+
+import yaml
+
+from seamhold_messages.errors import SettingsInvalid
+from seamhold_platform import PlatformClient
+from seamhold_settings import load_tree
+
+from .. import __version__
+from ..box_client import BoxClient
+from ..callers import hash_key
+from ..config import load_box_config
+from ..context import Environment
+from ..editing import Applied, SettingsEditor, difference, split_path, to_yaml, tree_values
+from ..logs import setup_logs
+from ..serve import serve
+from ..status import ExitStatus
+from . import constants
+from .exceptions import UsageError
+
+
+def _read_file(path: str) -> str:
+    try:
+        return Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsInvalid(f'{path}: {error}') from error
+
+
+class SettingsCommands:
+    """Read and change the tree of settings."""
+
+    def __init__(self, environment: Environment):
+        self._environment = environment
+
+    def _editor(self, platform: str) -> SettingsEditor:
+        url = platform or self._environment.variables.get(constants.PLATFORM_VARIABLE, '')
+        if not url:
+            raise UsageError(f'add --platform URL, or set {constants.PLATFORM_VARIABLE}')
+        variables = self._environment.variables
+        author = variables.get(constants.AUTHOR_VARIABLE, constants.UNKNOWN_AUTHOR)
+        return SettingsEditor(PlatformClient(url), self._environment, author)
+
+    def check(self, file: str) -> ExitStatus:
+        """Check a tree in FILE without writing anything."""
+        tree = load_tree(_read_file(file))
+        services = len(tree.fleet.services)
+        self._environment.say(
+            f'{file}: good, {services} services and {len(tree.workspaces)} workspaces'
+        )
+        return ExitStatus.SUCCESS
+
+    def apply(self, file: str, platform: str = '', prune: bool = False) -> ExitStatus:
+        """Bring the platform to the tree in FILE; --prune removes what is not in it."""
+        tree = load_tree(_read_file(file))
+        for applied in self._editor(platform).apply(tree, prune):
+            self._say_applied(applied)
+        return ExitStatus.SUCCESS
+
+    def _say_applied(self, applied: Applied) -> None:
+        what = 'written' if applied.changed else 'unchanged'
+        self._environment.say(
+            f'{applied.name}: {what}, revision {applied.revision}, edit {applied.edit_id}'
+        )
+
+    def get(self, path: str = '', platform: str = '') -> ExitStatus:
+        """Print the tree, or the part of it at PATH (workspaces.NAME.limits)."""
+        value = tree_values(self._editor(platform).read_tree())
+        for key in filter(None, str(path).split('.')):
+            if not isinstance(value, dict) or key not in value:
+                raise SettingsInvalid(f'{path}: not set at this level')
+            value = value[key]
+        self._environment.say(to_yaml(value))
+        return ExitStatus.SUCCESS
+
+    def set(self, path: str, value: str, platform: str = '') -> ExitStatus:
+        """Change one key: `set workspaces.NAME.limits.requests_in_flight 40`."""
+        split_path(path)
+        parsed = yaml.safe_load(value) if isinstance(value, str) else value
+        self._say_applied(self._editor(platform).set(path, parsed))
+        return ExitStatus.SUCCESS
+
+    def diff(self, file: str, platform: str = '') -> ExitStatus:
+        """Show what applying FILE would change; leaves with 7 if anything."""
+        wanted = tree_values(load_tree(_read_file(file)))
+        held = tree_values(self._editor(platform).read_tree())
+        text = difference(held, wanted, 'in the platform', file)
+        if not text:
+            self._environment.say('no difference')
+            return ExitStatus.SUCCESS
+        self._environment.say(text)
+        return ExitStatus.DIFFERS
+
+    def history(self, name: str = 'fleet', platform: str = '') -> ExitStatus:
+        """Who changed an object, newest last: `fleet` or `workspace.NAME`."""
+        stored = self._editor(platform).read()
+        if name not in stored:
+            raise SettingsInvalid(f'{name}: no such object; there are {", ".join(sorted(stored))}')
+        envelope = stored[name].envelope
+        first = envelope.revision - len(envelope.edits) + 1
+        for number, edit in enumerate(envelope.edits, first):
+            self._environment.say(f'{number}  {edit.at:.0f}  {edit.author}  {edit.id}')
+        return ExitStatus.SUCCESS
+
+
+class Commands:
+    """seamhold: a router fleet between callers and model engines."""
+
+    def __init__(self, environment: Environment):
+        self._environment = environment
+        self.settings = SettingsCommands(environment)
+
+    def _box(self, box: str, key: str) -> BoxClient:
+        variables = self._environment.variables
+        url = box or variables.get(constants.BOX_VARIABLE, '')
+        if not url:
+            raise UsageError(f'add --box URL, or set {constants.BOX_VARIABLE}')
+        return BoxClient(url, key or variables.get(constants.KEY_VARIABLE, ''))
+
+    def serve(self, settings: str) -> ExitStatus:
+        """Run a box with the box file SETTINGS until it is told to stop."""
+        config = load_box_config(settings)
+        setup_logs(self._environment.stderr, config.log_level)
+        serve(config, self._environment)
+        return ExitStatus.SUCCESS
+
+    def status(self, box: str = '', key: str = '') -> ExitStatus:
+        """Show what the box at URL knows; leaves with 5 if it is not ready."""
+        value = self._box(box, key).status()
+        self._environment.say(to_yaml(value))
+        return ExitStatus.SUCCESS if value.get('ready') else ExitStatus.UNAVAILABLE
+
+    def drain(self, box: str = '', key: str = '') -> ExitStatus:
+        """Stop the box at URL in good order: nothing in flight is cut."""
+        value = self._box(box, key).drain()
+        self._environment.say(f'stopping; {value["calls"]} calls to finish')
+        return ExitStatus.SUCCESS
+
+    def hash(self, key: str) -> ExitStatus:
+        """Print a caller's KEY as the settings hold it."""
+        self._environment.say(hash_key(str(key)))
+        return ExitStatus.SUCCESS
+
+    def version(self) -> ExitStatus:
+        """Print the version."""
+        self._environment.say(f'{constants.PROGRAM} {__version__}')
+        return ExitStatus.SUCCESS
--- /dev/null
+++ b/packages/router/seamhold/decider.py
@@ -0,0 +1,290 @@
+"""The task that owns the box's decisions.
+
+Request threads ask it for a place and wait for the answer; nothing else
+touches the routing state.
+"""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+from dataclasses import dataclass
+
+from seamhold_attempts.retry import Outcome
+from seamhold_membership import Digest
+from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_messages.work import Call, Decision, Queued
+from seamhold_peers import FleetLists
+from seamhold_routing import Router
+from seamhold_settings import Tree
+
+from .tasks import Ask, Task
+
+TICK_SECONDS = 0.05
+
+
+@dataclass(slots=True)
+class Admit(Ask):
+    """A new call asks for a place; answered by Placed or Refused."""
+
+    call: Call
+
+
+@dataclass(slots=True)
+class Again(Ask):
+    """A call whose attempt failed asks for another engine."""
+
+    call_id: str
+    failed_engine: str
+    outcome: Outcome
+
+
+@dataclass(slots=True)
+class Attempted:
+    """An attempt ended."""
+
+    call_id: str
+    outcome: Outcome
+
+
+@dataclass(slots=True)
+class Closed:
+    """A call is over."""
+
+    call_id: str
+
+
+@dataclass(slots=True)
+class EngineLeaving:
+    """An engine told one of this box's calls that it is leaving."""
+
+    engine: str
+
+
+@dataclass(slots=True)
+class UseSettings:
+    """A tree came into force."""
+
+    tree: Tree
+
+
+@dataclass(slots=True)
+class SetEngines:
+    """The platform's list of engines."""
+
+    engines: list[Engine]
+
+
+@dataclass(slots=True)
+class SetBoxes:
+    """The platform's list of boxes."""
+
+    boxes: list[Box]
+
+
+@dataclass(slots=True)
+class WantLists(Ask):
+    """Asks for the platform's lists as last seen, as FleetLists."""
+
+
+@dataclass(slots=True)
+class Hear:
+    """A peer told its state."""
+
+    digest: Digest
+
+
+@dataclass(slots=True)
+class WantDigest(Ask):
+    """The next digest for a peer, with the settings in force here."""
+
+    peer: str
+    settings_total: int
+    settings_print: int
+
+
+@dataclass(slots=True)
+class DigestSent:
+    """A digest went out to a peer."""
+
+    peer: str
+    digest: Digest
+
+
+@dataclass(slots=True)
+class DigestFailed:
+    """The stream to a peer broke."""
+
+    peer: str
+
+
+@dataclass(slots=True)
+class Leaving:
+    """This box is stopping."""
+
+
+@dataclass(frozen=True, slots=True)
+class BoxReport:
+    """A peer as this box sees it."""
+
+    name: str
+    phase: Phase
+    incarnation: str
+    peer_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """An engine as this box sees it."""
+
+    name: str
+    service: str
+    phase: Phase
+    requests: int
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class DeciderReport:
+    """What the decider shows on the status page and to other tasks."""
+
+    in_flight: int
+    live_boxes: tuple[str, ...]
+    boxes: tuple[BoxReport, ...]
+    engines: tuple[EngineReport, ...]
+    counts: dict[str, int]
+
+
+@dataclass(slots=True)
+class WantReport(Ask):
+    """Asks for a DeciderReport."""
+
+
+class Decider(Task):
+    """Owns the routing state of this box."""
+
+    name = 'decider'
+
+    def __init__(self, router: Router, clock: Callable[[], float]):
+        super().__init__()
+        self._router = router
+        self._clock = clock
+        self._replies: dict[str, Future] = {}
+        self._next_tick = 0.0
+        self._me: list[Box] = []
+        self.engines_listed = threading.Event()
+        self.boxes_listed = threading.Event()
+        self.handlers = {
+            Admit: self._admit,
+            Again: self._again,
+            Attempted: self._attempted,
+            Closed: self._closed,
+            EngineLeaving: self._engine_leaving,
+            UseSettings: self._use_settings,
+            SetEngines: self._set_engines,
+            SetBoxes: self._set_boxes,
+            WantLists: self._lists,
+            Hear: self._hear,
+            WantDigest: self._digest,
+            DigestSent: self._digest_sent,
+            DigestFailed: self._digest_failed,
+            Leaving: self._leaving,
+            WantReport: self._report,
+        }
+
+    def patience(self) -> float:
+        """The routing state wants its tick even when nothing happens."""
+        return TICK_SECONDS
+
+    def idle(self) -> None:
+        """Let time pass in the routing state."""
+        now = self._clock()
+        self._next_tick = now + TICK_SECONDS
+        self._deliver(self._router.tick(now))
+
+    def _deliver(self, decisions: list[Decision]) -> None:
+        now = self._clock()
+        for decision in decisions:
+            if isinstance(decision, Queued):
+                continue
+            reply = self._replies.pop(decision.call_id, None)
+            if reply is not None:
+                reply.set_result(decision)
+        if now >= self._next_tick:
+            self.idle()
+
+    def _admit(self, message: Admit) -> Admit:
+        # Answered by _deliver, now or when the call has waited.
+        self._replies[message.call.id] = message.reply
+        self._deliver(self._router.admit(message.call, self._clock()))
+        return message
+
+    def _again(self, message: Again) -> Again:
+        now = self._clock()
+        decisions = self._router.attempted(message.call_id, message.outcome, now)
+        self._router.exclude(message.call_id, message.failed_engine)
+        self._replies[message.call_id] = message.reply
+        self._deliver(decisions + self._router.again(message.call_id, now))
+        return message
+
+    def _attempted(self, message: Attempted) -> None:
+        self._deliver(self._router.attempted(message.call_id, message.outcome, self._clock()))
+
+    def _closed(self, message: Closed) -> None:
+        self._replies.pop(message.call_id, None)
+        self._deliver(self._router.close(message.call_id, self._clock()))
+
+    def _engine_leaving(self, message: EngineLeaving) -> None:
+        self._router.engine_leaving(message.engine, self._clock())
+
+    def _use_settings(self, message: UseSettings) -> None:
+        self._router.use_settings(message.tree)
+
+    def _set_engines(self, message: SetEngines) -> None:
+        self.engines_listed.set()
+        self._deliver(self._router.set_engines(message.engines, self._clock()))
+
+    def _set_boxes(self, message: SetBoxes) -> None:
+        self._me = [box for box in message.boxes if box.name == self._router.box]
+        self.boxes_listed.set()
+        self._router.set_boxes(message.boxes, self._clock())
+
+    def _lists(self, _: WantLists) -> FleetLists:
+        engines = self._router.engines.listed()
+        return FleetLists(engines, [*self._router.boxes.peers(), *self._me])
+
+    def _hear(self, message: Hear) -> None:
+        self._deliver(self._router.hear(message.digest, self._clock()))
+
+    def _digest(self, message: WantDigest) -> Digest:
+        return self._router.digest_for(
+            message.peer, message.settings_total, message.settings_print, self._clock()
+        )
+
+    def _digest_sent(self, message: DigestSent) -> None:
+        self._router.digest_sent(message.peer, message.digest)
+
+    def _digest_failed(self, message: DigestFailed) -> None:
+        self._router.digest_failed(message.peer)
+
+    def _leaving(self, message: Leaving) -> None:
+        self._router.leaving = True
+
+    def _report(self, message: WantReport) -> DeciderReport:
+        now = self._clock()
+        router = self._router
+        boxes = tuple(
+            BoxReport(
+                box.name, router.boxes.phase(box.name, now), box.incarnation, box.peer_address
+            )
+            for box in router.boxes.peers()
+        )
+        engines = []
+        for engine in router.engines.all(now):
+            load = router.loads.estimate(engine.name)
+            engines.append(
+                EngineReport(engine.name, engine.service, engine.phase, load.requests, load.tokens)
+            )
+        live = tuple(router.boxes.live(now))
+        return DeciderReport(
+            router.in_flight, live, boxes, tuple(engines), dict(sorted(router.counts.items()))
+        )
--- /dev/null
+++ b/packages/router/seamhold/entry.py
@@ -0,0 +1,266 @@
+"""The callers' port: CherryPy on cheroot's worker threads.
+
+A thread carries a call from its first byte to its last.  Nothing is decided
+here: requests go to the desk, and answers and failures are written out.
+"""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import cherrypy
+
+from seamhold_messages.errors import (
+    BadRequest,
+    BodyTooLarge,
+    BoxFull,
+    Internal,
+    NotReady,
+    SeamholdError,
+    UnknownService,
+)
+from seamhold_settings import ServiceKind, resolve
+
+from .callers import (
+    BODY_MAX_BYTES,
+    CHAT_PATH,
+    SERVICES_PREFIX,
+    Incoming,
+    authenticate,
+)
+from .context import Environment
+from .desk import CallDesk
+from .logs import logger
+from .metrics import Metrics
+from .pages import json_page, page_config, send_problem
+from .problems import problem_headers
+from .runner import Answer
+
+MODELS_PATH = '/v1/models'
+TICKETS_PATH = '/v1/tickets'
+HEALTH_PATHS = ('/healthz', '/readyz')
+TICKETS_MAX = 1000
+#: Threads kept free to refuse calls while all others carry one.
+SPARE_THREADS = 2
+READ_BYTES = 64 * 1024
+
+
+class Gate:
+    """Counts calls in progress, and closes when the box stops."""
+
+    def __init__(self, most: int):
+        self.most = most
+        self.draining = False
+        self.closed = False
+        self._active = 0
+        self._changed = threading.Condition()
+
+    @property
+    def active(self) -> int:
+        """Calls in progress."""
+        return self._active
+
+    def enter(self) -> None:
+        """One more call, or BoxFull or NotReady."""
+        with self._changed:
+            if self.closed:
+                raise NotReady('this box is stopping; another will serve you', 1.0)
+            if self._active >= self.most:
+                raise BoxFull('every thread of this box carries a call', 1.0)
+            self._active += 1
+
+    def leave(self) -> None:
+        """A call has ended."""
+        with self._changed:
+            self._active -= 1
+            self._changed.notify_all()
+
+    def close(self) -> None:
+        """Take no more calls."""
+        with self._changed:
+            self.closed = True
+
+    def wait_empty(self, seconds: float) -> bool:
+        """Whether all calls ended within `seconds`."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self._active == 0, seconds)
+
+
+class Entry:
+    """The pages that callers see."""
+
+    def __init__(
+        self,
+        desk: CallDesk,
+        gate: Gate,
+        environment: Environment,
+        metrics: Metrics,
+        ready: Callable[[], bool],
+    ):
+        self._desk = desk
+        self._ready = ready
+        self._gate = gate
+        self._environment = environment
+        self._metrics = metrics
+        self._log = logger('entry')
+
+    @cherrypy.expose
+    def default(self, *_, **__):
+        """Every page goes through here, so that each failure is answered."""
+        request_id = self._environment.fresh_id()
+        if self._gate.draining:
+            cherrypy.response.headers['Connection'] = 'close'
+        path = cherrypy.request.wsgi_environ.get('REQUEST_URI') or cherrypy.request.path_info
+        if path in HEALTH_PATHS:
+            return self._health(path)
+        try:
+            self._gate.enter()
+        except SeamholdError as error:
+            return self._refuse(error, request_id)
+        return self._answered(path, request_id)
+
+    def _answered(self, path: str, request_id: str):
+        """Answer a call that entered; it leaves when its body ends."""
+        began = time.perf_counter()
+        body = None
+        try:
+            body = self._serve(path, request_id)
+        except SeamholdError as error:
+            return self._refuse(error, request_id)
+        except Exception:
+            self._log.exception('entry.error', request_id=request_id)
+            return self._refuse(Internal('a fault of this box'), request_id)
+        finally:
+            if body is None or isinstance(body, bytes):
+                self._gate.leave()
+        if isinstance(body, bytes):
+            return body
+        cherrypy.response.stream = True
+        return Leaving(body, self._gate, self._metrics, began)
+
+    def _serve(self, path: str, request_id: str) -> bytes | Iterator[bytes]:
+        authorization = cherrypy.request.headers.get('Authorization', '')
+        workspace = authenticate(self._desk.tree, authorization)
+        method = cherrypy.request.method
+        page = path.partition('?')[0]
+        if page == MODELS_PATH and method == 'GET':
+            return self._models(workspace)
+        if page == TICKETS_PATH and method == 'POST':
+            return self._tickets(workspace)
+        if page == CHAT_PATH and method != 'POST':
+            raise BadRequest('use POST here')
+        if page != CHAT_PATH and not page.startswith(SERVICES_PREFIX):
+            raise UnknownService('there is no such page')
+        headers = dict(cherrypy.request.headers)
+        incoming = Incoming(request_id, workspace, method, path, headers, self._read_body())
+        return self._write(self._desk.answer(incoming), incoming)
+
+    def _write(self, answer: Answer, incoming: Incoming) -> bytes | Iterator[bytes]:
+        cherrypy.response.status = answer.status
+        cherrypy.response.headers.pop('Content-Type', None)
+        for name, value in answer.headers.items():
+            cherrypy.response.headers[name] = value
+        self._metrics.count(f'answered.{answer.status // 100}xx')
+        self._log.info(
+            'call.answered',
+            request_id=incoming.id,
+            workspace=incoming.workspace,
+            status=answer.status,
+            served_by=answer.headers.get('Seamhold-Served-By'),
+        )
+        return answer.body
+
+    def _read_body(self) -> bytes:
+        """The whole body, never more than any route allows."""
+        declared = cherrypy.request.headers.get('Content-Length')
+        if declared is not None and int(declared) > BODY_MAX_BYTES:
+            raise BodyTooLarge(f'at most {BODY_MAX_BYTES} bytes')
+        if declared is None and not cherrypy.request.headers.get('Transfer-Encoding'):
+            return b''
+        parts = []
+        size = 0
+        while data := cherrypy.request.rfile.read(READ_BYTES):
+            size += len(data)
+            if size > BODY_MAX_BYTES:
+                raise BodyTooLarge(f'at most {BODY_MAX_BYTES} bytes')
+            parts.append(data)
+        if declared is not None and size != int(declared):
+            raise BadRequest('the body ended early')
+        return b''.join(parts)
+
+    def _models(self, workspace: str) -> bytes:
+        tree = self._desk.tree
+        models = []
+        for name, service in tree.fleet.services.items():
+            if service.kind is ServiceKind.MODEL and resolve(tree, workspace, name):
+                models += service.models
+        rows = [
+            {'id': model, 'object': 'model', 'created': 0, 'owned_by': 'seamhold'}
+            for model in models
+        ]
+        return json_page({'object': 'list', 'data': rows})
+
+    def _tickets(self, workspace: str) -> bytes:
+        text = cherrypy.request.wsgi_environ.get('QUERY_STRING', '').removeprefix('count=') or '1'
+        if not text.isascii() or not text.isdigit() or not 1 <= int(text[:5]) <= TICKETS_MAX:
+            raise BadRequest(f'count is a number from 1 to {TICKETS_MAX}')
+        return json_page({'tickets': self._desk.mint(workspace, int(text))})
+
+    def _health(self, path: str) -> bytes:
+        ready = not self._gate.draining and self._ready()
+        if path == '/readyz' and not ready:
+            cherrypy.response.status = 503
+            return json_page({'ready': False})
+        return json_page({'ok': True})
+
+    def _refuse(self, error: SeamholdError, request_id: str) -> bytes:
+        self._metrics.count(f'refused.{error.code}')
+        self._log.info(
+            'call.refused',
+            request_id=request_id,
+            code=error.code,
+            ran=error.ran,
+            detail=error.detail,
+        )
+        headers = problem_headers(error, request_id)
+        if error.status in (400, 413):
+            # The body may not have been read, so the connection is no use.
+            headers['Connection'] = 'close'
+        return send_problem(error, request_id, headers)
+
+
+class Leaving:
+    """A streamed body that tells the gate when it ended, however it did."""
+
+    def __init__(self, body: Iterator[bytes], gate: Gate, metrics: Metrics, began: float):
+        self._body = body
+        self._gate = gate
+        self._metrics = metrics
+        self._began = began
+        self._left = False
+
+    def __iter__(self):
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            return next(self._body)
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """The last byte is out, or the caller left."""
+        if self._left:
+            return
+        self._left = True
+        try:
+            self._body.close()
+        finally:
+            self._gate.leave()
+            self._metrics.timing('stream', time.perf_counter() - self._began)
+
+
+def entry_application(entry: Entry) -> cherrypy.Application:
+    """The callers' pages as an application for cheroot."""
+    return cherrypy.Application(entry, '', page_config())
--- /dev/null
+++ b/packages/router/seamhold/follower.py
@@ -0,0 +1,251 @@
+"""Tasks that follow the platform: its lists, and the settings.
+
+Each lists a collection, then watches from there; after any failure it waits
+a little and starts over.  What was last seen stays in use in an outage.
+"""
+
+import random
+import threading
+from collections.abc import Callable
+
+from seamhold_messages.errors import (
+    PlatformConflict,
+    PlatformGone,
+    PlatformUnavailable,
+    SeamholdError,
+    SettingsInvalid,
+)
+from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_placement.rank import owners
+from seamhold_platform import ObjectKind, PlatformClient, PlatformObject, WatchKind
+from seamhold_settings import Step
+from seamhold_settings.envelope import Envelope
+
+from .keeper import Offer, SettingsKeeper
+from .logs import logger
+from .metrics import Metrics
+
+RETRY_SECONDS = 0.5
+RETRY_MAX_SECONDS = 8.0
+#: Boxes that watch the settings; the others hear from them.
+SETTINGS_WATCHERS = 3
+WATCHERS_KEY = 'settings-watchers'
+NOT_WATCHING_SECONDS = 1.0
+OFFER_SECONDS = 5.0
+#: Calls at once for an engine whose listing does not say.
+DEFAULT_SLOTS = 64
+
+
+def engine_from(item: PlatformObject) -> Engine:
+    """An engine as the platform lists it."""
+    spec = item.spec
+    return Engine(
+        item.name,
+        str(spec.get('service', '')),
+        str(spec.get('address', '')),
+        str(spec.get('failure_domain', '')),
+        str(spec.get('incarnation', '')),
+        int(spec.get('slots', DEFAULT_SLOTS)),
+        float(spec.get('weight', 1.0)),
+        Phase(spec.get('phase', Phase.LIVE)),
+    )
+
+
+def box_from(item: PlatformObject) -> Box:
+    """A box as the platform lists it."""
+    spec = item.spec
+    return Box(
+        item.name,
+        str(spec.get('peer_address', '')),
+        str(spec.get('failure_domain', '')),
+        '',
+        Phase(spec.get('phase', Phase.LIVE)),
+    )
+
+
+class Follower:
+    """Follows one collection; subclasses say what is done with it."""
+
+    kind: ObjectKind
+
+    def __init__(self, platform: PlatformClient, metrics: Metrics, chance: random.Random):
+        self.platform = platform
+        self.metrics = metrics
+        self.log = logger(f'follow-{self.kind}')
+        self._chance = chance
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=f'follow-{self.kind}', daemon=True)
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop at the next change or time-out; nothing waits for it."""
+        self._stopped.set()
+
+    def wanted(self) -> bool:
+        """Whether this box is one that follows the collection."""
+        return True
+
+    def listed(self, objects: list[PlatformObject]) -> None:
+        """The whole collection was read."""
+        raise NotImplementedError
+
+    def changed(self, kind: WatchKind, item: PlatformObject) -> None:
+        """One object changed."""
+        raise NotImplementedError
+
+    def _run(self) -> None:
+        pause = RETRY_SECONDS
+        while not self._stopped.is_set():
+            if not self.wanted():
+                self._stopped.wait(NOT_WATCHING_SECONDS)
+                continue
+            try:
+                self._follow()
+                pause = RETRY_SECONDS
+            except PlatformGone:
+                self.metrics.count(f'platform.{self.kind}.gone')
+            except SeamholdError as error:
+                self.metrics.count(f'platform.{self.kind}.{error.code}')
+                self.log.warning('platform.lost', code=error.code, detail=error.detail)
+                # Jitter keeps the boxes from coming back all at once.
+                self._stopped.wait(pause * self._chance.uniform(0.5, 1.5))
+                pause = min(RETRY_MAX_SECONDS, pause * 2)
+            except Exception:
+                self.log.exception('follow.error')
+                self._stopped.wait(RETRY_SECONDS)
+
+    def _follow(self) -> None:
+        page = self.platform.list(self.kind)
+        self.listed(page.objects)
+        version = page.version
+        while not self._stopped.is_set() and self.wanted():
+            for event in self.platform.watch(self.kind, version):
+                version = event.object.version or version
+                if event.kind is not WatchKind.BOOKMARK:
+                    self.changed(event.kind, event.object)
+
+
+class ListFollower(Follower):
+    """Follows a list and hands it on whole after each change."""
+
+    def __init__(
+        self,
+        kind: ObjectKind,
+        platform: PlatformClient,
+        metrics: Metrics,
+        chance: random.Random,
+        read: Callable[[PlatformObject], object],
+        deliver: Callable[[list], None],
+    ):
+        self.kind = kind
+        super().__init__(platform, metrics, chance)
+        self._read = read
+        self._deliver = deliver
+        self._items: dict[str, object] = {}
+
+    def listed(self, objects: list[PlatformObject]) -> None:
+        """Replace all items."""
+        self._items = {}
+        for item in objects:
+            self._put(item)
+        self._deliver(list(self._items.values()))
+
+    def changed(self, kind: WatchKind, item: PlatformObject) -> None:
+        """Replace or drop one item."""
+        if kind is WatchKind.DELETED:
+            self._items.pop(item.name, None)
+        else:
+            self._put(item)
+        self._deliver(list(self._items.values()))
+
+    def _put(self, item: PlatformObject) -> None:
+        try:
+            self._items[item.name] = self._read(item)
+        except (TypeError, ValueError):
+            # The last good reading stays in use.
+            self.metrics.count(f'platform.{self.kind}.unreadable')
+            self.log.warning('list.unreadable', object=item.name)
+
+
+class SettingsFollower(Follower):
+    """Follows the settings on the few boxes that watch them.
+
+    It also mends: when the platform shows an older version than is in force
+    (it was restored from a copy), the version in force is written back; an
+    edit made on the older copy is written again on top of it.
+    """
+
+    kind = ObjectKind.SETTINGS
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        metrics: Metrics,
+        chance: random.Random,
+        keeper: SettingsKeeper,
+        box: str,
+        live_boxes: Callable[[], tuple[str, ...]],
+    ):
+        super().__init__(platform, metrics, chance)
+        self._keeper = keeper
+        self._box = box
+        self._live_boxes = live_boxes
+        self._envelopes: dict[str, Envelope] = {}
+
+    def wanted(self) -> bool:
+        """The boxes that rank first for it watch; so does one with nothing."""
+        if not self._keeper.ready.is_set():
+            return True
+        return self._box in owners(WATCHERS_KEY, self._live_boxes(), SETTINGS_WATCHERS)
+
+    def listed(self, objects: list[PlatformObject]) -> None:
+        """Offer everything; also what came while nobody watched."""
+        self._offer(objects)
+
+    def changed(self, kind: WatchKind, item: PlatformObject) -> None:
+        """Offer one object; a raw delete is not how objects are removed."""
+        if kind is not WatchKind.DELETED:
+            self._offer([item])
+
+    def _offer(self, objects: list[PlatformObject]) -> None:
+        envelopes = list(filter(None, map(self._read, objects)))
+        offer = Offer([envelope.candidate() for envelope in envelopes], 'platform')
+        steps = self._keeper.ask(offer).result(OFFER_SECONDS)
+        for envelope, step in zip(envelopes, steps, strict=True):
+            if step in (Step.TAKEN, Step.SAME):
+                self._envelopes[envelope.name] = envelope
+            elif step in (Step.OLDER, Step.BRANCH):
+                self._mend(envelope.name)
+
+    def _read(self, item: PlatformObject) -> Envelope | None:
+        try:
+            return Envelope.from_spec(item.name, item.spec)
+        except SettingsInvalid as error:
+            self.metrics.count('settings.unreadable')
+            self.log.warning('settings.unreadable', object=item.name, detail=error.detail)
+            return None
+
+    def _mend(self, name: str) -> None:
+        """Look again, and write what must be in force on top of it."""
+        found = self.platform.get(self.kind, name)
+        envelope = self._read(found)
+        held = self._envelopes.get(name)
+        if envelope is None or held is None or envelope.revision > held.revision:
+            return
+        known = {edit.id for edit in held.edits}
+        if envelope.edits[-1].id == held.edits[-1].id and envelope.revision == held.revision:
+            return
+        if envelope.edits[-1].id in known:
+            mended = held
+        else:
+            mended = held.followed_by(envelope.edits[-1], envelope.value, envelope.deleted)
+        self.metrics.count('settings.mended')
+        self.log.warning('settings.mend', object=name, revision=mended.revision)
+        try:
+            self.platform.put(self.kind, PlatformObject(name, mended.to_spec(), found.version))
+        except (PlatformConflict, PlatformUnavailable) as error:
+            # Another watcher was first, or the next look tells.
+            self.log.warning('settings.mend_failed', object=name, code=error.code)
--- /dev/null
+++ b/packages/router/seamhold/operators.py
@@ -0,0 +1,119 @@
+"""The operators' port: health, status, and a planned stop."""
+
+import dataclasses
+import hmac
+from collections.abc import Callable
+
+import cherrypy
+
+from seamhold_messages.errors import SeamholdError, Unauthorized
+
+from . import __version__
+from .callers import BEARER, hash_key
+from .config import BoxConfig
+from .decider import Decider, WantReport
+from .entry import Gate
+from .keeper import SettingsKeeper, WantSettingsReport
+from .metrics import Metrics
+from .pages import json_page, page_config, send_problem
+from .peering import Peering
+from .problems import problem_headers
+
+TASK_SECONDS = 5.0
+
+
+class Operators:
+    """Pages for the balancer's checks and for people who run the box."""
+
+    def __init__(
+        self,
+        config: BoxConfig,
+        incarnation: str,
+        decider: Decider,
+        keeper: SettingsKeeper,
+        peering: Peering,
+        gate: Gate,
+        metrics: Metrics,
+        drain: Callable[[], None],
+    ):
+        self._config = config
+        self._incarnation = incarnation
+        self._decider = decider
+        self._keeper = keeper
+        self._peering = peering
+        self._gate = gate
+        self._metrics = metrics
+        self._drain = drain
+
+    @cherrypy.expose
+    def healthz(self):
+        """The process lives."""
+        return json_page({'ok': True})
+
+    @cherrypy.expose
+    def readyz(self):
+        """Whether the balancer may send calls here."""
+        cherrypy.response.status = 200 if self._ready else 503
+        return json_page({'ready': self._ready})
+
+    @cherrypy.expose
+    def status(self):
+        """All that the box knows, for people and scripts."""
+        try:
+            self._check_key()
+        except SeamholdError as error:
+            return send_problem(error, '', problem_headers(error, ''))
+        decider = self._decider.ask(WantReport()).result(TASK_SECONDS)
+        settings = self._keeper.ask(WantSettingsReport()).result(TASK_SECONDS)
+        return json_page(
+            {
+                'box': self._config.box,
+                'incarnation': self._incarnation,
+                'version': __version__,
+                'ready': self._ready,
+                'draining': self._gate.draining,
+                'calls': self._gate.active,
+                'in_flight': decider.in_flight,
+                'boxes': [dataclasses.asdict(box) for box in decider.boxes],
+                'engines': [dataclasses.asdict(engine) for engine in decider.engines],
+                'settings': dataclasses.asdict(settings),
+                'control': {
+                    'bytes': self._peering.budget.spent,
+                    'denied': self._peering.budget.denied,
+                    'bytes_per_second': self._peering.budget.rate,
+                },
+                'counters': self._metrics.counts() | decider.counts,
+            }
+        )
+
+    @cherrypy.expose
+    def drain(self):
+        """Begin a planned stop."""
+        try:
+            self._check_key()
+        except SeamholdError as error:
+            return send_problem(error, '', problem_headers(error, ''))
+        if cherrypy.request.method != 'POST':
+            cherrypy.response.status = 405
+            return json_page({'detail': 'use POST'})
+        self._drain()
+        cherrypy.response.status = 202
+        return json_page({'draining': True, 'calls': self._gate.active})
+
+    @property
+    def _ready(self) -> bool:
+        return self._peering.ready and not self._gate.draining
+
+    def _check_key(self) -> None:
+        if self._config.operator_key is None:
+            return
+        sent = cherrypy.request.headers.get('Authorization', '')
+        if not sent.lower().startswith(BEARER):
+            raise Unauthorized('send the operator key as a bearer key')
+        if not hmac.compare_digest(hash_key(sent[len(BEARER) :]), self._config.operator_key):
+            raise Unauthorized('not the operator key')
+
+
+def operator_application(operators: Operators) -> cherrypy.Application:
+    """The operators' pages as an application for cheroot."""
+    return cherrypy.Application(operators, '', page_config())
--- /dev/null
+++ b/packages/router/seamhold/pages.py
@@ -0,0 +1,68 @@
+"""What CherryPy's pages share: settings, JSON, and the server under them."""
+
+import json
+
+import cherrypy
+from cheroot.wsgi import Server
+
+from seamhold_messages.errors import SeamholdError
+
+from .config import split_address
+from .problems import CONTENT_TYPE, problem
+
+#: Connections that wait for a thread before cheroot turns more away.
+ACCEPT_QUEUE = 512
+CALLER_IDLE_SECONDS = 30
+SHUTDOWN_SECONDS = 2
+
+
+def page_config() -> dict:
+    """No body parsing and no logs by CherryPy: both are done here."""
+    return {
+        '/': {
+            'request.process_request_body': False,
+            'request.show_tracebacks': False,
+            'tools.trailing_slash.on': False,
+        },
+        'global': {},
+    }
+
+
+def quiet_cherrypy() -> None:
+    """CherryPy's own logs would hold paths; structlog says what is needed."""
+    cherrypy.log.screen = False
+    cherrypy.log.access_log.propagate = False
+    cherrypy.log.error_log.propagate = False
+
+
+def json_page(value: object) -> bytes:
+    """A JSON body, with its header set on the response."""
+    cherrypy.response.headers['Content-Type'] = 'application/json'
+    return json.dumps(value).encode() + b'\n'
+
+
+def send_problem(error: SeamholdError, request_id: str, headers: dict[str, str]) -> bytes:
+    """A problem document, with status and headers set on the response."""
+    cherrypy.response.status = error.status
+    for name, value in headers.items():
+        cherrypy.response.headers[name] = value
+    cherrypy.response.headers['Content-Type'] = CONTENT_TYPE
+    return json.dumps(problem(error, request_id)).encode() + b'\n'
+
+
+def make_server(address: str, application, threads: int, reuse_port: bool = False) -> Server:
+    """A cheroot server for an application; it does not listen yet."""
+    split = split_address(address)
+    server = Server(
+        (split.host, split.port),
+        application,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=ACCEPT_QUEUE,
+        timeout=CALLER_IDLE_SECONDS,
+        shutdown_timeout=SHUTDOWN_SECONDS,
+        server_name='seamhold',
+    )
+    server.reuse_port = reuse_port
+    server.error_log = lambda *args, **kwargs: None
+    return server
--- /dev/null
+++ b/packages/router/seamhold/peering.py
@@ -0,0 +1,280 @@
+"""The task that owns the connections to other boxes and tells them things.
+
+It runs an event loop of its own.  Every digest is paid for from the byte
+budget first; a box that has spent it stays quiet.
+"""
+
+import asyncio
+import random
+import threading
+from collections.abc import Coroutine
+from concurrent.futures import Future
+
+from seamhold_membership import ByteBudget
+from seamhold_peers import (
+    MESSAGE_OVERHEAD_BYTES,
+    NameTable,
+    PeerClient,
+    PeerHandler,
+    PeerServer,
+    encode_digest,
+)
+from seamhold_peers.client import BROKEN
+
+from .config import BoxConfig, split_address
+from .context import Environment
+from .decider import (
+    Decider,
+    DeciderReport,
+    DigestFailed,
+    DigestSent,
+    Leaving,
+    SetBoxes,
+    SetEngines,
+    WantDigest,
+    WantReport,
+)
+from .keeper import Offer, SettingsKeeper, WantKnown
+from .logs import logger
+from .metrics import Metrics
+
+ROSTER_SECONDS = 0.5
+#: Pause before a peer that did not answer is told again.
+BROKEN_SECONDS = 1.0
+#: Bytes of a connection's set-up, counted when a stream is opened.
+CONNECT_BYTES = 600
+STOP_SECONDS = 5.0
+
+
+class Peering:
+    """Tells peers this box's state, and pulls settings it is behind on."""
+
+    def __init__(
+        self,
+        config: BoxConfig,
+        decider: Decider,
+        keeper: SettingsKeeper,
+        environment: Environment,
+        metrics: Metrics,
+        chance: random.Random,
+    ):
+        self._config = config
+        self._decider = decider
+        self._keeper = keeper
+        self._environment = environment
+        self._metrics = metrics
+        self._chance = chance
+        self._log = logger('peering')
+        self.names = NameTable()
+        self.roster = DeciderReport(0, (config.box,), (), (), {})
+        control = keeper.snapshot.tree.fleet.control
+        now = environment.monotonic()
+        self.budget = ByteBudget(control.control_bytes_per_second, now)
+        self._clients: dict[str, PeerClient] = {}
+        self._quiet_until: dict[str, float] = {}
+        self._pulling: set[str] = set()
+        self.loop = asyncio.new_event_loop()
+        self._handler: PeerHandler | None = None
+        self._server: PeerServer | None = None
+        self._thread = threading.Thread(target=self._run, name='peering', daemon=True)
+        self._background: list[asyncio.Task] = []
+        self._started = threading.Event()
+        self._failure: BaseException | None = None
+
+    # The thread around the loop.
+
+    def start(self, handler: PeerHandler) -> None:
+        """Listen and begin to tell; raises what kept it from listening."""
+        self._handler = handler
+        self._thread.start()
+        self._started.wait()
+        if self._failure is not None:
+            raise self._failure
+
+    def submit(self, work: Coroutine) -> Future:
+        """Run a coroutine on the loop, from another thread."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop)
+
+    def client(self, box: str) -> PeerClient | None:
+        """The connection to a box that is listed."""
+        return self._clients.get(box)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        try:
+            self.loop.run_until_complete(self._listen())
+        except BaseException as error:
+            self._failure = error
+            return
+        finally:
+            self._started.set()
+        self.loop.run_forever()
+        self.loop.close()
+
+    async def _listen(self) -> None:
+        address = split_address(self._config.peer_listen)
+        # A server belongs to the loop that is running when it is made.
+        self._server = PeerServer(self._handler, self.names)
+        await self._server.start(address.host, address.port)
+        self._background = [
+            self.loop.create_task(self._forever(self._keep_roster, self._roster_pause)),
+            self.loop.create_task(self._forever(self._tell_all, self._tell_pause)),
+        ]
+
+    async def _forever(self, step, pause) -> None:
+        while True:
+            try:
+                await step()
+            except Exception:
+                # One failed round must not end the telling.
+                self._log.exception('peering.error')
+            await asyncio.sleep(pause())
+
+    def _roster_pause(self) -> float:
+        return ROSTER_SECONDS
+
+    def _tell_pause(self) -> float:
+        pause = self._keeper.snapshot.tree.fleet.control.digest_seconds
+        return pause * self._chance.uniform(0.9, 1.1)
+
+    def stop(self) -> None:
+        """Tell nobody any more and stop listening."""
+        self.submit(self._shut()).result(STOP_SECONDS)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(timeout=STOP_SECONDS)
+
+    async def _shut(self) -> None:
+        for task in self._background:
+            task.cancel()
+        for client in self._clients.values():
+            client.close()
+        await self._server.stop()
+
+    # Who is there.
+
+    @property
+    def ready(self) -> bool:
+        """Whether this box has settings and both of the platform's lists."""
+        decider = self._decider
+        return (
+            self._keeper.ready.is_set()
+            and decider.engines_listed.is_set()
+            and decider.boxes_listed.is_set()
+        )
+
+    def boxes_changed(self) -> None:
+        """Look at the list of boxes now and not in half a second."""
+        self.submit(self._keep_roster())
+
+    async def _keep_roster(self) -> None:
+        """Read who is there, and connect to whom this box did not know."""
+        report = await asyncio.wrap_future(self._decider.ask(WantReport()))
+        self.roster = report
+        self.names.add(engine.name for engine in report.engines)
+        self.names.add(self._keeper.snapshot.tree.workspaces)
+        self._connect({box.name: box.peer_address for box in report.boxes})
+        self.budget.rate = self._keeper.snapshot.tree.fleet.control.control_bytes_per_second
+        if not self.ready:
+            await self._pull_from_anyone()
+
+    def _connect(self, wanted: dict[str, str]) -> None:
+        for name, client in list(self._clients.items()):
+            if wanted.get(name) != client.address:
+                client.close()
+                del self._clients[name]
+        for name, address in wanted.items():
+            if name not in self._clients:
+                self._clients[name] = PeerClient(address)
+
+    async def _pull_from_anyone(self) -> None:
+        """A box that starts in an outage takes the settings from peers."""
+        listed = (box.peer_address for box in self.roster.boxes)
+        addresses = {*self._config.seed_peers, *listed} - {self._config.peer_listen}
+        for address in sorted(addresses):
+            client = PeerClient(address)
+            try:
+                await self._pull(client, 'seed')
+                await self._pull_lists(client)
+            except BROKEN:
+                self._metrics.count('peers.seed_unreachable')
+            finally:
+                client.close()
+            if self.ready:
+                return
+
+    async def _pull_lists(self, client: PeerClient) -> None:
+        lists = await client.pull_lists()
+        if not self._decider.boxes_listed.is_set():
+            self._decider.send(SetBoxes(lists.boxes))
+        if not self._decider.engines_listed.is_set():
+            self._decider.send(SetEngines(lists.engines))
+
+    # Telling.
+
+    async def _tell_all(self) -> None:
+        peers = list(self._clients)
+        # A random order, so that a short budget starves no one peer.
+        self._chance.shuffle(peers)
+        for name in peers:
+            await self._tell(name)
+
+    async def _tell(self, name: str) -> None:
+        client = self._clients.get(name)
+        now = self._environment.monotonic()
+        if client is None or now < self._quiet_until.get(name, 0.0):
+            return
+        first = not client.telling
+        if first:
+            self._decider.send(DigestFailed(name))
+        snapshot = self._keeper.snapshot
+        want = WantDigest(name, snapshot.total, snapshot.fingerprint)
+        digest = await asyncio.wrap_future(self._decider.ask(want))
+        part = encode_digest(digest, first)
+        size = part.ByteSize() + MESSAGE_OVERHEAD_BYTES + (CONNECT_BYTES if first else 0)
+        if not self.budget.take(size, now):
+            self._metrics.count('control.denied')
+            return
+        try:
+            await client.tell(part)
+        except BROKEN:
+            await self._lost(name, client)
+            return
+        self._metrics.count('control.bytes', size)
+        self._metrics.count('control.messages')
+        self._decider.send(DigestSent(name, digest))
+
+    async def _lost(self, name: str, client: PeerClient) -> None:
+        self._metrics.count('peers.unreachable')
+        self._quiet_until[name] = self._environment.monotonic() + BROKEN_SECONDS
+        self._decider.send(DigestFailed(name))
+        await client.reset()
+
+    def tell_leaving(self) -> None:
+        """Tell every peer now that this box is stopping."""
+        self._decider.send(Leaving())
+        self.submit(self._tell_all()).result(STOP_SECONDS)
+
+    # Pulling.
+
+    async def compare_settings(self, box: str, total: int, fingerprint: int) -> None:
+        """Pull from a peer that has other settings in force than this box."""
+        mine = self._keeper.snapshot
+        ahead = total > mine.total
+        differs = total == mine.total and fingerprint != mine.fingerprint
+        client = self._clients.get(box)
+        if client is None or not (ahead or differs) or box in self._pulling:
+            return
+        self._pulling.add(box)
+        try:
+            await self._pull(client, box)
+        except BROKEN:
+            self._metrics.count('settings.pull_failed')
+        finally:
+            self._pulling.discard(box)
+
+    async def _pull(self, client: PeerClient, source: str) -> None:
+        known = await asyncio.wrap_future(self._keeper.ask(WantKnown()))
+        newer = await client.pull_settings(known)
+        self._metrics.count('settings.pulls')
+        if newer:
+            await asyncio.wrap_future(self._keeper.ask(Offer(newer, source)))
--- /dev/null
+++ b/packages/router/seamhold/serve.py
@@ -0,0 +1,204 @@
+"""Puts one box together, runs it, and stops it in good order."""
+
+import random
+import signal
+import threading
+
+from seamhold_attempts.retry import RetryBudget
+from seamhold_attempts.tickets import TicketBook
+from seamhold_messages.fleet import Box
+from seamhold_platform import ObjectKind, PlatformClient
+from seamhold_routing import Router
+from seamhold_settings import Tree
+
+from .claims import ClaimWriter
+from .config import BoxConfig
+from .context import Environment
+from .decider import Decider, SetBoxes, SetEngines, UseSettings
+from .desk import CallDesk
+from .engines import EngineClient
+from .entry import SPARE_THREADS, Entry, Gate, entry_application
+from .follower import ListFollower, SettingsFollower, box_from, engine_from
+from .keeper import SettingsKeeper
+from .logs import logger
+from .metrics import Metrics
+from .operators import Operators, operator_application
+from .pages import make_server, quiet_cherrypy
+from .peer_calls import PeerCalls
+from .peer_handler import BoxPeerHandler
+from .peering import Peering
+from .runner import Runner
+from .tickets import TicketDesk
+
+OPERATOR_THREADS = 4
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class BoxProcess:
+    """One router box: its tasks, its three ports, and its end."""
+
+    def __init__(self, config: BoxConfig, environment: Environment):
+        self.config = config
+        self.environment = environment
+        self.incarnation = environment.fresh_id()
+        self.metrics = Metrics(config.statsd)
+        self._log = logger('box')
+        self._stopping = threading.Event()
+        self._stops_wanted = 0
+        chance = random.Random(self.incarnation)
+        clock = environment.monotonic
+        self.platform = PlatformClient(config.platform_url)
+        self.decider = Decider(Router(config.box, self.incarnation), clock)
+        self.keeper = SettingsKeeper(self.metrics, self._settings_changed)
+        self.claims = ClaimWriter(self.platform, environment, self.metrics, self._claim_lifetime)
+        self.tickets = TicketDesk(TicketBook(config.box, self.incarnation), clock)
+        self.budget = RetryBudget()
+        self.engines = EngineClient()
+        runner = Runner(self.decider, self.engines, self.budget, environment, self.metrics)
+        self.peering = Peering(config, self.decider, self.keeper, environment, self.metrics, chance)
+        peers = PeerCalls(config.box, self.peering, self.claims, self.metrics)
+        self.desk = CallDesk(
+            config.box,
+            self.incarnation,
+            self.keeper,
+            runner,
+            self.tickets,
+            self.claims,
+            peers,
+            environment,
+            self.metrics,
+        )
+        self.peer_handler = BoxPeerHandler(
+            self.peering, self.decider, self.keeper, self.claims, self.desk.answer_relayed
+        )
+        self.followers = self._followers(chance)
+        self.gate = Gate(config.threads)
+        self._servers = self._make_servers()
+
+    def _followers(self, chance: random.Random) -> list:
+        lists = [
+            ListFollower(
+                ObjectKind.ENGINES,
+                self.platform,
+                self.metrics,
+                chance,
+                engine_from,
+                lambda engines: self.decider.send(SetEngines(engines)),
+            ),
+            ListFollower(
+                ObjectKind.BOXES,
+                self.platform,
+                self.metrics,
+                chance,
+                box_from,
+                self._boxes_changed,
+            ),
+        ]
+        settings = SettingsFollower(
+            self.platform,
+            self.metrics,
+            chance,
+            self.keeper,
+            self.config.box,
+            lambda: self.peering.roster.live_boxes,
+        )
+        return [settings, *lists]
+
+    def _make_servers(self) -> list:
+        entry = Entry(
+            self.desk, self.gate, self.environment, self.metrics, lambda: self.peering.ready
+        )
+        operators = Operators(
+            self.config,
+            self.incarnation,
+            self.decider,
+            self.keeper,
+            self.peering,
+            self.gate,
+            self.metrics,
+            self.ask_stop,
+        )
+        return [
+            make_server(
+                self.config.listen,
+                entry_application(entry),
+                self.config.threads + SPARE_THREADS,
+                self.config.reuse_port,
+            ),
+            make_server(
+                self.config.operator_listen, operator_application(operators), OPERATOR_THREADS
+            ),
+        ]
+
+    def _settings_changed(self, tree: Tree) -> None:
+        self.budget.ratio = tree.fleet.control.retry_budget_ratio
+        self.decider.send(UseSettings(tree))
+
+    def _boxes_changed(self, boxes: list[Box]) -> None:
+        self.decider.send(SetBoxes(boxes))
+        self.peering.boxes_changed()
+
+    def _claim_lifetime(self) -> float:
+        return self.keeper.snapshot.tree.fleet.control.claim_seconds
+
+    # Life and end.
+
+    def start(self) -> None:
+        """Start all tasks and listen; raises OSError if a port is taken."""
+        quiet_cherrypy()
+        for task in (self.decider, self.keeper, self.claims, self.tickets):
+            task.start()
+        self.peering.start(self.peer_handler)
+        for follower in self.followers:
+            follower.start()
+        for server in self._servers:
+            server.prepare()
+            threading.Thread(target=server.serve, daemon=True).start()
+        self._log.info('box.started', box=self.config.box, incarnation=self.incarnation)
+
+    def ask_stop(self) -> None:
+        """Begin a planned stop; a second ask cuts what is in flight."""
+        self._stops_wanted += 1
+        self._stopping.set()
+
+    def wait(self) -> None:
+        """Serve until a stop is asked for, then leave in good order."""
+        self._stopping.wait()
+        self._log.info('box.draining', calls=self.gate.active)
+        self.gate.draining = True
+        self.peering.tell_leaving()
+        # The balancer needs a moment to see that this box is not ready.
+        self._wait_unless_cut(self.config.drain_grace, until_empty=False)
+        self.gate.close()
+        self._wait_unless_cut(self.config.drain_limit, until_empty=True)
+        self._log.info('box.stopped', calls_cut=self.gate.active)
+        self._shut()
+
+    def _wait_unless_cut(self, seconds: float, until_empty: bool) -> None:
+        ends = self.environment.monotonic() + seconds
+        while self._stops_wanted < 2 and self.environment.monotonic() < ends:
+            if self.gate.wait_empty(0.1) and until_empty:
+                return
+            if not until_empty:
+                self.environment.sleep(0.05)
+
+    def _shut(self) -> None:
+        for server in self._servers:
+            server.stop()
+        for follower in self.followers:
+            follower.stop()
+        self.peer_handler.stop()
+        self.peering.stop()
+        for task in (self.claims, self.tickets, self.keeper, self.decider):
+            task.stop()
+        self.engines.close()
+        self.platform.close()
+
+
+def serve(config: BoxConfig, environment: Environment) -> None:
+    """Run a box in this process until it is told to stop."""
+    process = BoxProcess(config, environment)
+    for number in SIGNALS:
+        signal.signal(number, lambda *_: process.ask_stop())
+    process.start()
+    process.wait()
--- /dev/null
+++ b/packages/routing/seamhold_routing/router.py
@@ -0,0 +1,317 @@
+"""One box's whole decision state, without sockets, threads or a clock.
+
+Messages and the time go in, messages come out.  The daemon's decider task
+owns one of these; a test or a measurement drives it with a hand-set clock.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, replace
+
+from seamhold_attempts.retry import Outcome
+from seamhold_limits import WorkspaceCaps, WorkspaceLimits
+from seamhold_membership import (
+    BoxView,
+    Digest,
+    DigestReceiver,
+    DigestSender,
+    EngineView,
+    Event,
+    EventKind,
+    EventLog,
+)
+from seamhold_messages.errors import NoEngine, SeamholdError
+from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
+from seamhold_placement import BoundPolicy, LoadTable
+from seamhold_settings import Tree
+
+from .service import ServicePlan, ServiceRouter
+
+#: Events that one digest carries at most.
+EVENTS_PER_DIGEST = 8
+NO_ENGINE_RETRY_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class _Active:
+    call: Call
+    engine: str = ''
+
+
+class Router:
+    """What one box knows and decides."""
+
+    def __init__(self, box: str, incarnation: str):
+        self.box = box
+        self.incarnation = incarnation
+        self.leaving = False
+        self.counts: Counter[str] = Counter()
+        self.tree = Tree()
+        self.engines = EngineView()
+        self.boxes = BoxView(box)
+        self.loads = LoadTable()
+        self.limits = WorkspaceLimits(box)
+        self.events = EventLog()
+        self._services: dict[str, ServiceRouter] = {}
+        self._active: dict[str, _Active] = {}
+        self._sender = DigestSender()
+        self._receiver = DigestReceiver()
+
+    # What the box is told.
+
+    def use_settings(self, tree: Tree) -> None:
+        """Put a tree in force; work in flight goes on."""
+        self.tree = tree
+        placement = tree.fleet.placement
+        self.engines.rising_seconds = placement.rising_seconds
+        self.engines.suspect_seconds = placement.suspect_seconds
+        self.loads.peer_growth = placement.peer_growth
+        self.limits.set_caps(
+            {
+                name: WorkspaceCaps(
+                    space.limits.requests_in_flight,
+                    space.limits.tokens_in_flight,
+                    space.limits.requests_per_second,
+                )
+                for name, space in tree.workspaces.items()
+            }
+        )
+        for name, service in self._services.items():
+            service.use_plan(self._plan(name))
+
+    def _plan(self, service: str) -> ServicePlan:
+        placement = self.tree.fleet.placement
+        bound = BoundPolicy(
+            placement.admit_multiple, placement.floor_requests, placement.floor_tokens
+        )
+        offered = self.tree.fleet.services.get(service)
+        queue_calls = offered.policy.queue_calls if offered else None
+        if queue_calls is None:
+            queue_calls = self.tree.fleet.policy.queue_calls
+        return ServicePlan(bound) if queue_calls is None else ServicePlan(bound, queue_calls)
+
+    def set_engines(self, engines: list[Engine], now: float) -> list[Decision]:
+        """Take over the platform's list of engines."""
+        self.engines.set_list(engines, now)
+        return self._drain_queues(now)
+
+    def set_boxes(self, boxes: list[Box], now: float) -> None:
+        """Take over the platform's list of boxes."""
+        self.boxes.set_list(boxes, now)
+        self._share_between_live(now)
+
+    def hear(self, digest: Digest, now: float) -> list[Decision]:
+        """A peer told its state; calls that waited may now have a place."""
+        if self.boxes.heard(digest.box, digest.incarnation, now):
+            self._sender.forget(digest.box)
+        whole = self._receiver.hear(digest)
+        self.loads.set_peer(digest.box, whole.loads)
+        self.limits.set_peer(digest.box, whole.usage)
+        if digest.leaving:
+            self.boxes.leaving(digest.box, digest.incarnation)
+        for event in digest.events:
+            self._take_event(event, now)
+        return self._drain_queues(now)
+
+    def _take_event(self, event: Event, now: float) -> None:
+        if not self.events.add(event, len(self.boxes.peers()) + 1):
+            return
+        self.counts[f'event.{event.kind.name.lower()}'] += 1
+        if event.kind is EventKind.ENGINE_LEAVING:
+            self.engines.leaving(event.subject, event.incarnation)
+        elif event.kind is EventKind.ENGINE_FAILING:
+            self.engines.reported_failing(event.subject, event.incarnation, event.origin, now)
+        elif event.kind is EventKind.BOX_LEAVING:
+            self.boxes.leaving(event.subject, event.incarnation)
+
+    def engine_leaving(self, name: str, now: float) -> None:
+        """An engine told this box that it takes no new work."""
+        engine = self.engines.get(name)
+        if engine is not None:
+            event = Event(EventKind.ENGINE_LEAVING, name, engine.incarnation, self.box)
+            self._take_event(event, now)
+
+    # What the box is asked.
+
+    def admit(self, call: Call, now: float) -> list[Decision]:
+        """Place the call, let it wait, or refuse it.
+
+        The first decision names the call; others may name calls that gave
+        way to it.
+        """
+        try:
+            decisions = self._admit(call, now)
+        except SeamholdError as error:
+            decisions = [Refused(call.id, error.code, error.detail, error.retry_after)]
+        return self._count(decisions)
+
+    def _admit(self, call: Call, now: float) -> list[Decision]:
+        service = self._service(call.service)
+        if not service.any_engine(now):
+            raise NoEngine('no live engine serves this', NO_ENGINE_RETRY_SECONDS)
+        self.limits.admit(call.workspace, call.work, now)
+        self._active[call.id] = _Active(call)
+        placed = None if len(service.queue) else self._place(service, call, now)
+        if placed:
+            return [placed]
+        return self._enqueue(service, call, now)
+
+    def _enqueue(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
+        space = self.tree.workspaces.get(call.workspace)
+        weight = space.weight if space else 1.0
+        refused = service.queue.offer(call, now, weight)
+        for refusal in refused:
+            self._forget(refusal.call_id)
+        own = [refusal for refusal in refused if refusal.call_id == call.id]
+        others = [refusal for refusal in refused if refusal.call_id != call.id]
+        return [*(own or [Queued(call.id)]), *others]
+
+    def _service(self, name: str) -> ServiceRouter:
+        service = self._services.get(name)
+        if service is None:
+            service = ServiceRouter(name, self.engines, self.loads)
+            service.use_plan(self._plan(name))
+            self._services[name] = service
+        return service
+
+    def _place(self, service: ServiceRouter, call: Call, now: float) -> Placed | None:
+        placed = service.place(call, now)
+        if placed is None:
+            return None
+        self._active[call.id].engine = placed.engine
+        self.loads.start(placed.engine, call.work)
+        return placed
+
+    def attempted(self, call_id: str, outcome: Outcome, now: float) -> list[Decision]:
+        """An attempt ended; the call keeps its part of the limits."""
+        active = self._active.get(call_id)
+        if active is None or not active.engine:
+            return []
+        engine, active.engine = active.engine, ''
+        self.loads.finish(engine, active.call.work)
+        self._note_outcome(engine, outcome, now)
+        return self._drain_queue(active.call.service, now)
+
+    def _note_outcome(self, engine: str, outcome: Outcome, now: float) -> None:
+        self.counts[f'outcome.{outcome}'] += 1
+        if outcome is Outcome.DONE:
+            self.engines.answered(engine)
+        elif outcome in (Outcome.NOT_SENT, Outcome.FAILED, Outcome.BROKEN):
+            self.engines.failed(engine, now)
+            listed = self.engines.get(engine)
+            if listed is not None:
+                event = Event(EventKind.ENGINE_FAILING, engine, listed.incarnation, self.box)
+                self.events.add(event, len(self.boxes.peers()) + 1)
+
+    def again(self, call_id: str, now: float) -> list[Decision]:
+        """Place a call anew, away from the engine of its last attempt."""
+        active = self._active.get(call_id)
+        if active is None:
+            return []
+        service = self._service(active.call.service)
+        placed = self._place(service, active.call, now)
+        if placed:
+            return self._count([placed])
+        if not service.any_engine(now, active.call.excluded):
+            error = NoEngine('no other engine serves this', NO_ENGINE_RETRY_SECONDS)
+            return self._count([Refused(call_id, error.code, error.detail, error.retry_after)])
+        return self._count(self._enqueue(service, active.call, now))
+
+    def exclude(self, call_id: str, engine: str) -> None:
+        """Keep the call away from `engine` from here on."""
+        active = self._active.get(call_id)
+        if active is not None:
+            excluded = active.call.excluded | {engine}
+            active.call = replace(active.call, excluded=excluded, hint=None)
+
+    def close(self, call_id: str, now: float) -> list[Decision]:
+        """The call is over, or its caller left while it waited."""
+        active = self._active.get(call_id)
+        if active is None:
+            return []
+        service = self._service(active.call.service)
+        service.queue.remove(call_id)
+        if active.engine:
+            self.loads.finish(active.engine, active.call.work)
+        self._forget(call_id)
+        return self._drain_queue(active.call.service, now)
+
+    def _forget(self, call_id: str) -> None:
+        active = self._active.pop(call_id, None)
+        if active is not None:
+            self.limits.release(active.call.workspace, active.call.work)
+
+    # Time.
+
+    def tick(self, now: float) -> list[Decision]:
+        """Expire what waited too long and forget boxes that went silent."""
+        for name in self.boxes.silent(now):
+            self.loads.drop_peer(name)
+            self._receiver.forget(name)
+            self._sender.forget(name)
+        self._share_between_live(now)
+        return self._drain_queues(now)
+
+    def _share_between_live(self, now: float) -> None:
+        self.limits.set_boxes(self.boxes.live(now))
+
+    def _drain_queues(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        for name in self._services:
+            decisions += self._drain_queue(name, now)
+        return decisions
+
+    def _drain_queue(self, name: str, now: float) -> list[Decision]:
+        service = self._services[name]
+        if not len(service.queue):
+            return []
+        decisions: list[Decision] = list(service.queue.expire(now))
+        for refusal in decisions:
+            self._forget(refusal.call_id)
+        for call in service.queue.peek(now):
+            placed = self._place(service, call, now)
+            if placed is None:
+                break
+            service.queue.remove(call.id, now)
+            decisions.append(placed)
+        return self._count(decisions)
+
+    def _count(self, decisions: list[Decision]) -> list[Decision]:
+        for decision in decisions:
+            if isinstance(decision, Refused):
+                self.counts[f'refused.{decision.code}'] += 1
+            elif isinstance(decision, Placed):
+                self.counts['placed.spilled' if decision.spilled else 'placed.first'] += 1
+        return decisions
+
+    # What the box tells.
+
+    def digest_for(self, peer: str, settings_total: int, settings_print: int, now: float) -> Digest:
+        """The next message to `peer`."""
+        digest = Digest(
+            self.box,
+            self.incarnation,
+            leaving=self.leaving,
+            loads=self.loads.own(),
+            usage=self.limits.usage(now),
+            settings_total=settings_total,
+            settings_print=settings_print,
+            events=self.events.pending(EVENTS_PER_DIGEST),
+        )
+        return self._sender.next_for(peer, digest)
+
+    def digest_sent(self, peer: str, digest: Digest) -> None:
+        """The last message made for `peer` went out."""
+        self._sender.sent(peer)
+        self.loads.digest_sent()
+        self.limits.digest_sent()
+        self.events.relayed(digest.events)
+
+    def digest_failed(self, peer: str) -> None:
+        """The stream to `peer` broke; the next digest is a full one."""
+        self._sender.forget(peer)
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that are placed or wait on this box."""
+        return len(self._active)
--- /dev/null
+++ b/packages/settings/seamhold_settings/__init__.py
@@ -0,0 +1,35 @@
+"""The operators' tree of settings: schema, inheritance and versions."""
+
+from .resolve import ResolvedRoute, Tree, resolve
+from .schema import (
+    FleetSpec,
+    Limits,
+    Placement,
+    Policy,
+    RouteSpec,
+    ServiceKind,
+    ServiceSpec,
+    WorkspaceSpec,
+)
+from .tree import SettingsFile, load_tree, split
+from .versions import Candidate, InForce, Step
+
+__all__ = [
+    'Candidate',
+    'FleetSpec',
+    'InForce',
+    'Limits',
+    'Placement',
+    'Policy',
+    'ResolvedRoute',
+    'RouteSpec',
+    'ServiceKind',
+    'ServiceSpec',
+    'SettingsFile',
+    'Step',
+    'Tree',
+    'WorkspaceSpec',
+    'load_tree',
+    'resolve',
+    'split',
+]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of all packages; `python -m tests` runs them."""
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,96 @@
+"""Ranking and the load bound."""
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from seamhold_messages.work import Work
+from seamhold_placement import BoundPolicy, LoadTable, choose
+from seamhold_placement.bound import Candidate
+from seamhold_placement.rank import rank
+
+ENGINES = {f'engine-{number}': 1.0 for number in range(10)}
+
+
+def candidates(*loads: int, slots: int = 100) -> list[Candidate]:
+    return [
+        Candidate(f'e{number}', Work(load, load * 100), slots) for number, load in enumerate(loads)
+    ]
+
+
+class TestRank(testtools.TestCase):
+    def test_order_does_not_depend_on_the_order_of_the_list(self):
+        reordered = dict(reversed(ENGINES.items()))
+        self.assertEqual(rank('chat', ENGINES), rank('chat', reordered))
+
+    @given(st.text(min_size=1), st.sampled_from(sorted(ENGINES)))
+    def test_losing_an_engine_moves_only_its_chats(self, chat, lost):
+        before = rank(chat, ENGINES)
+        after = rank(chat, {name: 1.0 for name in ENGINES if name != lost})
+        self.assertEqual([name for name in before if name != lost], after)
+
+    def test_weights_draw_chats_in_proportion(self):
+        weights = {'small': 1.0, 'large': 3.0}
+        firsts = [rank(f'chat-{number}', weights)[0] for number in range(4000)]
+        self.assertAlmostEqual(0.75, firsts.count('large') / 4000, delta=0.03)
+
+
+class TestBound(testtools.TestCase):
+    def test_first_in_rank_order_within_the_bound_is_taken(self):
+        choice = choose(candidates(20, 10, 10), Work(1, 100), BoundPolicy())
+        self.assertEqual(('e1', 1, True), (choice.name, choice.rank, choice.in_bound))
+
+    def test_full_engines_refuse_and_only_then(self):
+        self.assertIsNone(choose(candidates(2, 2, slots=2), Work(1, 100), BoundPolicy()))
+        choice = choose(candidates(2, 1, slots=2), Work(1, 100), BoundPolicy())
+        self.assertEqual('e1', choice.name)
+
+    def test_an_idle_engine_takes_a_call_of_any_size(self):
+        choice = choose(candidates(0, 0, 0), Work(1, 50_000), BoundPolicy())
+        self.assertEqual(0, choice.rank)
+
+    def test_a_hint_that_is_out_of_range_changes_nothing(self):
+        for hint in (-1, 3, 99):
+            choice = choose(candidates(5, 5, 5), Work(1, 100), BoundPolicy(2.0), hint)
+            self.assertEqual(0, choice.rank)
+
+    def test_a_hint_over_the_bound_is_not_followed(self):
+        choice = choose(candidates(5, 30, 5), Work(1, 100), BoundPolicy(), hint=1)
+        self.assertNotEqual('e1', choice.name)
+
+    @given(
+        st.lists(st.integers(0, 60), min_size=2, max_size=12),
+        st.integers(1, 5000),
+        st.floats(1.05, 3.0),
+    )
+    def test_in_bound_means_what_it_says(self, loads, tokens, multiple):
+        engines = candidates(*loads)
+        choice = choose(engines, Work(1, tokens), BoundPolicy(multiple, 1, 0))
+        if not choice.in_bound:
+            return
+        after = loads[choice.rank] + 1
+        mean = (sum(loads) + 1) / len(loads)
+        self.assertLessEqual(after, max(1, -(-multiple * mean // 1)))
+        tokens_after = loads[choice.rank] * 100 + tokens
+        tokens_mean = (sum(loads) * 100 + tokens) / len(loads)
+        self.assertLessEqual(tokens_after, max(tokens, multiple * tokens_mean) + 1e-6)
+
+
+class TestLoadTable(testtools.TestCase):
+    def test_peers_and_own_work_add_up_and_end(self):
+        table = LoadTable()
+        table.start('a', Work(1, 10))
+        table.set_peer('box-2', {'a': Work(2, 20)})
+        self.assertEqual(Work(3, 30), table.estimate('a'))
+        table.set_peer('box-2', {})
+        table.finish('a', Work(1, 10))
+        self.assertEqual(Work(0, 0), table.estimate('a'))
+
+    def test_work_that_peers_do_not_know_of_counts_for_them_too(self):
+        table = LoadTable(peer_growth=1.0)
+        table.set_peer('box-2', {})
+        table.set_peer('box-3', {})
+        table.start('a', Work(1, 10))
+        self.assertEqual(Work(3, 30), table.estimate('a'))
+        table.digest_sent()
+        self.assertEqual(Work(1, 10), table.estimate('a'))
--- /dev/null
+++ b/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
