At most once, proved: scenarios over real processes, models, and mutants

Cause: the path ran, but nothing showed that a call which may not be repeated runs once, nor that a "not run" is true, when boxes die, freeze, or the platform's answers are lost.

Found and mended: a box did not know a ticket of its own earlier start; the load table kept work that had ended until the next digest, so that a chat's second turn spilled; CherryPy's encoding tool wrapped bodies, so that a caller that left in mid-stream held its place at the gate for ever.

Releases of claims are not in the model yet.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOURCES = packages standins tests scenarios models measure
 BINARY = dist/seamhold
 
-.PHONY: install demo up test scenarios models measure codestyle format generate lock binary check-binary clean
+.PHONY: install demo up test scenarios mutants models measure codestyle format generate lock binary check-binary clean
 
 install: $(STAMP)
 
@@ -28,8 +28,11 @@
 test: install
 	$(BIN)/python -m tests
 
+mutants: install
+	$(BIN)/python -m scenarios.mutants
+
 scenarios: install
-	$(BIN)/behave --no-capture scenarios
+	$(BIN)/behave --no-capture --format progress scenarios
 
 models: install
 	$(BIN)/python -m models
--- a/packages/attempts/seamhold_attempts/tickets.py
+++ b/packages/attempts/seamhold_attempts/tickets.py
@@ -30,6 +30,18 @@
     DONE = 'done'
 
 
+def begin_state(state: TicketState) -> TicketState:
+    """The state after a dispatch begins, or KeyInUse if one ever did."""
+    if state is not TicketState.OPEN:
+        raise KeyInUse(f'the ticket was used: {state}')
+    return TicketState.DISPATCHED
+
+
+def not_run_state(state: TicketState) -> TicketState:
+    """The state after a dispatch that is certain not to have run."""
+    return TicketState.OPEN if state is TicketState.DISPATCHED else state
+
+
 @dataclass(frozen=True, slots=True)
 class TicketName:
     """The parts of a ticket."""
@@ -104,18 +116,16 @@
         body.
         """
         ticket = self._find(name, workspace, now)
-        if ticket.state is not TicketState.OPEN:
-            if ticket.body_hash != body_hash:
-                raise KeyMismatch('the ticket was used with another body')
-            raise KeyInUse(f'the ticket was used: {ticket.state}')
-        ticket.state = TicketState.DISPATCHED
+        if ticket.state is not TicketState.OPEN and ticket.body_hash != body_hash:
+            raise KeyMismatch('the ticket was used with another body')
+        ticket.state = begin_state(ticket.state)
         ticket.body_hash = body_hash
 
     def not_run(self, name: TicketName) -> None:
         """The engine is certain not to have run it: the ticket is open again."""
         ticket = self._tickets.get(name.secret)
-        if ticket is not None and ticket.state is TicketState.DISPATCHED:
-            ticket.state = TicketState.OPEN
+        if ticket is not None:
+            ticket.state = not_run_state(ticket.state)
 
     def done(self, name: TicketName) -> None:
         """The call ended, however it ended."""
--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -28,11 +28,12 @@
 
     def finish(self, engine: str, work: Work) -> None:
         """Work that this box sent to `engine` has ended."""
-        left = self._own[engine] - work
-        if left.requests <= 0:
+        self._own[engine] -= work
+        if self._own[engine].requests <= 0:
             del self._own[engine]
-        else:
-            self._own[engine] = left
+        unsent = self._unsent.pop(engine, NO_WORK) - work
+        if unsent.requests > 0:
+            self._unsent[engine] = unsent
 
     def own(self) -> dict[str, Work]:
         """This box's work in flight by engine: what a digest carries."""
--- a/packages/router/seamhold/pages.py
+++ b/packages/router/seamhold/pages.py
@@ -23,6 +23,9 @@
             'request.process_request_body': False,
             'request.show_tracebacks': False,
             'tools.trailing_slash.on': False,
+            # It would wrap bodies, and a wrapped one is not closed when a
+            # caller leaves.
+            'tools.encode.on': False,
         },
         'global': {},
     }
--- a/packages/router/seamhold/peer_calls.py
+++ b/packages/router/seamhold/peer_calls.py
@@ -35,6 +35,8 @@
         Raises TicketUnknown when the box is known to have started anew,
         TicketUnreachable when it cannot be asked now.
         """
+        if ticket.box == self._box:
+            raise TicketUnknown('this box started anew since it gave the ticket')
         roster = {box.name: box for box in self._peering.roster.boxes}
         peer = roster.get(ticket.box)
         if peer is None:
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted failures over real processes, in Gherkin."""
--- /dev/null
+++ b/scenarios/mutants.py
@@ -0,0 +1,143 @@
+"""Shows that the scenarios can fail: each mechanism is switched off in turn.
+
+`python -m scenarios.mutants` copies the packages, breaks one line in the
+copy, and runs the scenario that must notice.  Leaves with 1 if one does not.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+RUN_SECONDS = 180
+#: How behave shows a step that failed, or that waited in vain.
+FAILED_MARKS = ('FAILURE in step', 'FleetError: waited')
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One mechanism switched off, and the scenario that must fail for it."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    scenario: str
+
+
+MUTANTS = (
+    Mutant(
+        'a used ticket is not looked at',
+        'attempts/seamhold_attempts/tickets.py',
+        'if state is not TicketState.OPEN:',
+        'if False:',
+        'A ticketed call sent to two boxes at once',
+    ),
+    Mutant(
+        'every claim is won',
+        'attempts/seamhold_attempts/claims.py',
+        'if held.owner == claim.owner:',
+        'if True:',
+        'The same idempotency key at two boxes at once',
+    ),
+    Mutant(
+        'not repeatable calls are retried',
+        'attempts/seamhold_attempts/retry.py',
+        'return rule.repeatable and outcome',
+        'return outcome',
+        'An engine dies before the first token of a call that may not be repeated',
+    ),
+    Mutant(
+        'the end of a stream is not looked for',
+        'router/seamhold/runner.py',
+        'if not watch.done:',
+        'if False:',
+        'A stream that ends without its end is not passed on as whole',
+    ),
+    Mutant(
+        'the id of an answer is not looked at',
+        'router/seamhold/engines.py',
+        'if headers.get(REQUEST_ID_HEADER) != request.request_id and status < 400:',
+        'if False:',
+        'An engine answers someone else',
+    ),
+    Mutant(
+        'a stream is resumed from its start',
+        'router/seamhold/runner.py',
+        'replace(job.request, offset=watch.events)',
+        'replace(job.request, offset=0)',
+        'An engine dies in the middle of a stream that may be repeated',
+    ),
+    Mutant(
+        'a key is not given back',
+        'router/seamhold/guards.py',
+        'self._writer.send(ReleaseClaim',
+        'str(ReleaseClaim',
+        'A key may be used again after the engines refused',
+    ),
+    Mutant(
+        'a caller that leaves cancels nothing',
+        'router/seamhold/engines.py',
+        '            self._response.close()\n        self._response.release_conn()',
+        '            self._response.drain_conn()',
+        'A caller leaves in the middle of a stream',
+    ),
+    Mutant(
+        'an outage lets keyed calls run',
+        'router/seamhold/guards.py',
+        'if not self._run_unclaimed:',
+        'if False:',
+        'The platform is out: keys are refused, tickets work',
+    ),
+)
+
+
+def break_copy(mutant: Mutant, folder: Path) -> list[str]:
+    """Copy the packages with one mechanism off; the path to import from."""
+    packages = folder / 'packages'
+    shutil.copytree(ROOT / 'packages', packages, ignore=shutil.ignore_patterns('__pycache__'))
+    file = packages / mutant.file
+    text = file.read_text(encoding='utf-8')
+    if mutant.old not in text:
+        raise SystemExit(f'{mutant.name}: {mutant.file} has changed, mend the mutant')
+    file.write_text(text.replace(mutant.old, mutant.new), encoding='utf-8')
+    return [str(path) for path in sorted(packages.iterdir())]
+
+
+def caught(mutant: Mutant) -> bool:
+    """Whether the scenario fails with the mechanism off."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.pathsep.join([*break_copy(mutant, Path(folder)), str(ROOT)])
+        command = [sys.executable, '-m', 'behave', 'scenarios', '--format', 'progress2']
+        result = subprocess.run(
+            [*command, '--name', mutant.scenario],
+            cwd=ROOT,
+            env=dict(os.environ, PYTHONPATH=path),
+            capture_output=True,
+            text=True,
+            timeout=RUN_SECONDS,
+            check=False,
+        )
+    return result.returncode != 0 and any(mark in result.stdout for mark in FAILED_MARKS)
+
+
+def main(names: list[str]) -> int:
+    """Try all mutants, or those whose name holds one of `names`."""
+    wanted = [
+        mutant for mutant in MUTANTS if not names or any(name in mutant.name for name in names)
+    ]
+    missed = 0
+    for mutant in wanted:
+        found = caught(mutant)
+        missed += not found
+        print(f'{"caught" if found else "MISSED"}: {mutant.name}', flush=True)
+    print(f'{len(wanted) - missed} passed, {missed} failed')
+    return 1 if missed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,137 @@
+"""The callers' port: bad input gets a clear answer and leaves nothing behind."""
+
+import json
+import socket
+import time
+
+import testtools
+
+from tests.utils.stack import HOST, KEY, Stack
+
+CHAT = '/v1/chat/completions'
+
+
+class TestEntry(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.stack = Stack()
+        self.addCleanup(self.stack.close)
+
+    def refused(self, answer) -> str:
+        self.assertEqual('application/problem+json', answer.headers['Content-Type'])
+        problem = answer.json()
+        self.assertEqual(answer.status, problem['status'])
+        self.assertEqual(0, self.stack.box.gate.active)
+        return f'{answer.status} {problem["code"]} {problem["ran"]}'
+
+    def test_bad_json(self):
+        for body in (b'{', b'[]', b'\xff\xfe', b'', b'[' * 100_000):
+            self.assertEqual('400 bad_json no', self.refused(self.stack.post(CHAT, body)))
+
+    def test_wrong_types(self):
+        for body in ({}, {'model': 1, 'messages': []}, {'model': 'm', 'messages': 'hi'}):
+            self.assertEqual('400 bad_request no', self.refused(self.stack.post(CHAT, body)))
+        for tokens in (0, -1, 1.5, '9', True):
+            body = self.stack.chat(max_tokens=tokens)
+            expected = '400 bad_request no' if tokens != 0 else None
+            if expected:
+                self.assertEqual(expected, self.refused(self.stack.post(CHAT, body)))
+
+    def test_unknown_model_and_page(self):
+        body = self.stack.chat(model='other-model')
+        self.assertEqual('404 unknown_model no', self.refused(self.stack.post(CHAT, body)))
+        self.assertEqual('404 unknown_service no', self.refused(self.stack.post('/nope', {})))
+        answer = self.stack.post('/services/chat/x', {})
+        self.assertEqual('404 unknown_service no', self.refused(answer))
+
+    def test_wrong_key(self):
+        for key in ('', 'Bearer', 'Bearer wrong', f'Basic {KEY}'):
+            answer = self.stack.post(CHAT, self.stack.chat(), Authorization=key)
+            self.assertEqual('401 unauthorized no', self.refused(answer))
+
+    def test_body_larger_than_its_route_allows(self):
+        body = self.stack.chat(user='x' * 400)
+        headers = {'Seamhold-Route': 'small'}
+        answer = self.stack.post(CHAT, body, **headers)
+        self.assertEqual('413 body_too_large no', self.refused(answer))
+        self.assertEqual(200, self.stack.post(CHAT, body).status)
+
+    def test_bad_headers(self):
+        cases = (
+            {'Seamhold-Timeout': 'soon'},
+            {'Seamhold-Timeout': '-1'},
+            {'Seamhold-Timeout': 'nan'},
+            {'Seamhold-Repeatable': 'maybe'},
+            {'Idempotency-Key': 'k' * 300},
+        )
+        for headers in cases:
+            answer = self.stack.post(CHAT, self.stack.chat(), **headers)
+            self.assertEqual('400 bad_request no', self.refused(answer))
+
+    def test_bad_tickets(self):
+        for ticket in ('x', 'a.b', 'box-1.nope.secret', 'box-9.a.b'):
+            answer = self.stack.post(CHAT, self.stack.chat(), **{'Seamhold-Ticket': ticket})
+            self.assertEqual('unknown', answer.json()['ran'])
+        self.assertEqual([], self.stack.engine.ledger)
+
+    def test_ticket_counts(self):
+        self.assertEqual(3, len(self.stack.post('/v1/tickets?count=3', {}).json()['tickets']))
+        for count in ('0', '-1', '99999', 'x'):
+            answer = self.stack.post(f'/v1/tickets?count={count}', {})
+            self.assertEqual('400 bad_request no', self.refused(answer))
+
+    def test_a_body_cut_short_reaches_no_engine(self):
+        address = (HOST, int(self.stack.url.rpartition(':')[2]))
+        with socket.create_connection(address) as caller:
+            caller.sendall(
+                f'POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n'
+                'Content-Length: 500\r\n\r\n{"model": '.encode()
+            )
+            caller.shutdown(socket.SHUT_WR)
+            caller.recv(4096)
+        self.assertEqual([], self.stack.engine.ledger)
+        self.assertEqual(0, self.stack.box.gate.active)
+
+    def test_a_caller_that_is_gone_leaves_nothing_behind(self):
+        self.stack.engine.set_faults({'token_seconds': 0.02})
+        body = json.dumps(self.stack.chat(stream=True, max_tokens=500)).encode()
+        address = (HOST, int(self.stack.url.rpartition(':')[2]))
+        with socket.create_connection(address) as caller:
+            caller.sendall(
+                f'POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n'.encode()
+                + body
+            )
+            caller.recv(1024)
+        self.wait_for(lambda: self.stack.box.gate.active == 0)
+        self.wait_for(lambda: self.stack.engine.ledger[0].state == 'cancelled')
+
+    def wait_for(self, condition):
+        ends = time.monotonic() + 10
+        while not condition() and time.monotonic() < ends:
+            time.sleep(0.02)
+        self.assertTrue(condition())
+
+    def test_an_engine_that_answers_4xx_is_passed_on(self):
+        answer = self.stack.http.request(
+            'GET',
+            f'{self.stack.url}/services/plain/stock?a=%20b',
+            headers={'Authorization': f'Bearer {KEY}'},
+        )
+        self.assertEqual('/stock?a=%20b', answer.json()['path'])
+
+    def test_keys_and_prompts_are_not_logged(self):
+        self.stack.post(
+            CHAT, self.stack.chat(messages=[{'role': 'user', 'content': 'secret-text'}])
+        )
+        self.stack.post(CHAT, b'secret-text')
+        logs = self.stack.logs.getvalue()
+        self.assertNotIn('secret-text', logs)
+        self.assertNotIn(KEY, logs)
+        self.assertIn('request_id', logs)
+
+    def test_more_calls_than_threads_are_refused_at_once(self):
+        self.stack.box.gate.most = 0
+        answer = self.stack.post(CHAT, self.stack.chat())
+        self.assertEqual('503 box_full no', self.refused(answer))
+        self.assertIn('Retry-After', answer.headers)
