--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,31 @@
+"""`python -m measure [NAME ...]`: all measurements, or those named."""
+
+import sys
+import time
+
+from . import growth, path, placing, slopes
+
+MEASUREMENTS = {
+    'placing': placing.compare_ways,
+    'frontier': placing.frontier,
+    'growth': growth.measure,
+    'slopes': slopes.measure,
+    'path': path.measure,
+}
+
+
+def main(names: list[str]) -> int:
+    """Run the measurements; 2 if one is not known."""
+    unknown = set(names) - set(MEASUREMENTS)
+    if unknown:
+        print(f'no such measurement: {", ".join(unknown)}; there are {", ".join(MEASUREMENTS)}')
+        return 2
+    for name in names or MEASUREMENTS:
+        began = time.monotonic()
+        MEASUREMENTS[name]()
+        print(f'({name} took {time.monotonic() - began:.0f} s)', flush=True)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/measure/drive.py
+++ b/measure/drive.py
@@ -86,6 +86,13 @@
             load += work
         return load
 
+    def total(self, group: str) -> Work:
+        """The sum of all estimates."""
+        load = Work()
+        for engine in self._engines:
+            load += self.estimate(engine)
+        return load
+
 
 class Drive:
     """One run: boxes, engines and callers on one clock."""
--- /dev/null
+++ b/measure/slopes.py
@@ -0,0 +1,249 @@
+"""What one more of each thing costs a box: time and memory, by slopes."""
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from seamhold_attempts.claims import Claim, ClaimBucket
+from seamhold_attempts.retry import Outcome
+from seamhold_attempts.tickets import TicketBook
+from seamhold_membership import Digest, Event, EventKind
+from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.work import Call, Usage, Work
+from seamhold_peers import MESSAGE_OVERHEAD_BYTES, encode_digest
+from seamhold_routing import Router
+from seamhold_settings import Candidate, InForce
+from seamhold_settings.tree import FLEET_OBJECT, WORKSPACE_PREFIX
+
+from .report import Column, save, table
+
+REPEATS = 5
+CALLS = 1500
+IN_FLIGHT = 570
+
+
+@dataclass(frozen=True)
+class Slope:
+    """One cost at two sizes, and what one more adds."""
+
+    what: str
+    unit: str
+    small: int
+    large: int
+    at_small: float
+    at_large: float
+
+    @property
+    def each(self) -> float:
+        """What one more costs."""
+        return (self.at_large - self.at_small) / (self.large - self.small)
+
+
+def best_time(work: Callable[[], None]) -> float:
+    """Seconds of the fastest of some repeats."""
+    times = []
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        work()
+        times.append(time.perf_counter() - began)
+    return min(times)
+
+
+def memory_of(make: Callable[[], object]) -> float:
+    """Bytes that what `make` gives holds."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def router_with(engines: int, boxes: int = 1) -> Router:
+    """A box that knows so many engines and peers."""
+    router = Router('box-0', '1')
+    router.set_boxes([Box(f'box-{number}', f'10.0.0.1:{number}') for number in range(boxes)], 0.0)
+    listed = [
+        Engine(f'engine-{number}', 'chat', f'10.0.0.1:{number}', 'domain', '1')
+        for number in range(engines)
+    ]
+    router.set_engines(listed, 0.0)
+    return router
+
+
+def decide(engines: int) -> float:
+    """Microseconds for a call's admission, end and closing."""
+    router = router_with(engines)
+    numbers = iter(range(10**9))
+
+    def calls() -> None:
+        for _ in range(CALLS):
+            number = next(numbers)
+            now = number * 0.02
+            call = Call(f'c{number}', 'w', 'chat', f'chat-{number}', Work(1, 400), now + 60)
+            router.admit(call, now)
+            done = f'c{number - IN_FLIGHT}'
+            router.attempted(done, Outcome.DONE, now)
+            router.close(done, now)
+
+    calls()
+    return best_time(calls) / CALLS * 1e6
+
+
+def digest_of(engines: int) -> Digest:
+    """A digest with work at so many engines."""
+    loads = {f'engine-{number}': Work(2, 1500) for number in range(engines)}
+    return Digest('box-0', 'abcdef', False, loads=loads)
+
+
+def digest_bytes(engines: int) -> float:
+    """Bytes of a digest, headers and acknowledgement counted."""
+    return float(encode_digest(digest_of(engines), False).ByteSize() + MESSAGE_OVERHEAD_BYTES)
+
+
+def event_bytes(events: int) -> float:
+    """Bytes of a digest with so many events."""
+    found = [
+        Event(EventKind.ENGINE_LEAVING, f'engine-{number:05d}', 'a1b2c3d4', 'box-1234')
+        for number in range(events)
+    ]
+    digest = Digest('box-0', 'abcdef', False, events=found)
+    return float(encode_digest(digest, False).ByteSize() + MESSAGE_OVERHEAD_BYTES)
+
+
+def hear(engines: int) -> float:
+    """Microseconds to make, encode and hear a digest of changed loads."""
+    router = router_with(engines, boxes=2)
+    chance = random.Random(1)
+
+    def hear_many() -> None:
+        for step in range(100):
+            loads = {
+                f'engine-{number}': Work(chance.randint(1, 3), 1500) for number in range(engines)
+            }
+            digest = Digest('box-1', 'x', True, loads=loads)
+            encode_digest(digest, False)
+            router.hear(digest, float(step))
+
+    return best_time(hear_many) / 100 * 1e6
+
+
+def settings_of(workspaces: int) -> InForce:
+    """Settings in force with so many workspaces of three services."""
+    state = InForce()
+    services = {f's{number}': {'kind': 'model', 'models': [f'm{number}']} for number in range(15)}
+    state.offer(Candidate(FLEET_OBJECT, 1, 'e', {'services': services}))
+    for number in range(workspaces):
+        spec = {
+            'keys': ['sha256:' + f'{number:064x}'],
+            'limits': {'requests_in_flight': 50},
+            'services': {f's{service}': {} for service in range(3)},
+        }
+        state.offer(Candidate(f'{WORKSPACE_PREFIX}w{number}', 1, 'e', spec))
+    return state
+
+
+def step_settings(workspaces: int) -> float:
+    """Microseconds for one object's step to a newer version."""
+    state = settings_of(workspaces)
+    revisions = iter(range(2, 10**9))
+
+    def step() -> None:
+        spec = {'limits': {'requests_in_flight': 60}, 'services': {'s1': {}}}
+        state.offer(Candidate(f'{WORKSPACE_PREFIX}w0', next(revisions), 'x', spec))
+        state.total()
+        state.fingerprint()
+
+    return best_time(step) * 1e6
+
+
+def claims_bytes(claims: int) -> float:
+    """Bytes of a bucket object with so many claims."""
+    import json
+
+    held = {
+        f'{number:032x}': Claim(
+            f'{number:032x}', '0123456789abcdef:0123456789abcdef', 'b' * 32, 1.0
+        )
+        for number in range(claims)
+    }
+    return float(len(json.dumps(ClaimBucket(held).to_spec())))
+
+
+def tickets_memory(count: int) -> float:
+    """Bytes that open tickets hold."""
+    return memory_of(lambda: _book(count))
+
+
+def _book(count: int) -> TicketBook:
+    book = TicketBook('box-0', 'abcdef', most=10**6)
+    book.mint('workspace', count, 900.0, 0.0)
+    return book
+
+
+SLOPES = (
+    ('a decision, per engine of the service', 'us', decide, 64, 2048),
+    ('a digest, per engine with changed work', 'bytes', digest_bytes, 10, 500),
+    ('a digest, per event', 'bytes', event_bytes, 0, 8),
+    ('making and hearing a digest, per engine', 'us', hear, 10, 500),
+    ('a settings step, per workspace', 'us', step_settings, 10, 470),
+    ('a claims object, per claim', 'bytes', claims_bytes, 100, 4000),
+    ('memory, per engine known', 'bytes', lambda n: memory_of(lambda: router_with(n)), 100, 5000),
+    (
+        'memory, per peer known',
+        'bytes',
+        lambda n: memory_of(lambda: router_with(1, n)),
+        100,
+        2700,
+    ),
+    (
+        'memory, per workspace in the settings',
+        'bytes',
+        lambda n: memory_of(lambda: settings_of(n)),
+        10,
+        470,
+    ),
+    ('memory, per open ticket', 'bytes', tickets_memory, 100, 10_000),
+)
+COLUMNS = (
+    Column('what', 'what', 's'),
+    Column('unit', 'unit', 's'),
+    Column('small', 'from', 'd'),
+    Column('large', 'to', 'd'),
+    Column('at_small', 'cost there', '.0f'),
+    Column('at_large', 'cost there', '.0f'),
+    Column('each', 'each', '.3f'),
+)
+
+
+def measure() -> None:
+    """All slopes, one after another."""
+    rows = []
+    for what, unit, cost, small, large in SLOPES:
+        slope = Slope(what, unit, small, large, cost(small), cost(large))
+        rows.append(slope.__dict__ | {'each': slope.each})
+    # Usage is what a digest carries for each workspace with a limit.
+    usage = Digest('box-0', 'x', False, usage={'w': Usage(Work(3, 2000), 4.0)})
+    empty = Digest('box-0', 'x', False)
+    each = encode_digest(usage, False).ByteSize() - encode_digest(empty, False).ByteSize()
+    rows.append(
+        {
+            'what': 'a digest, per workspace with a limit in use',
+            'unit': 'bytes',
+            'small': 0,
+            'large': 1,
+            'at_small': 0,
+            'at_large': each,
+            'each': float(each),
+        }
+    )
+    about = (
+        'Measured by `make measure` (`python -m measure slopes`) in one process; times are the '
+        f'fastest of {REPEATS}.  docs/CAPACITY.md works from these.'
+    )
+    save('slopes', rows, '\n\n'.join(['# Slopes', about, table(rows, COLUMNS)]))
--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -3,7 +3,7 @@
 from .budget import ByteBudget
 from .digest import Digest, DigestReceiver, DigestSender
 from .gossip import Event, EventKind, EventLog
-from .view import BoxView, EngineView
+from .view import BoxView, EngineView, Serving
 
 __all__ = [
     'BoxView',
@@ -15,4 +15,5 @@
     'Event',
     'EventKind',
     'EventLog',
+    'Serving',
 ]
--- a/packages/membership/seamhold_membership/view.py
+++ b/packages/membership/seamhold_membership/view.py
@@ -5,7 +5,7 @@
 lagging list brings a leaving engine back, only a new start of it does.
 """
 
-from collections.abc import Iterable
+import math
 from dataclasses import dataclass, field, replace
 
 from seamhold_messages.fleet import Box, Engine, Phase
@@ -24,6 +24,18 @@
     reporters: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """The engines of a service that may get work, until a time.
+
+    `weights` draw chats: less for an engine that just came.
+    """
+
+    engines: dict[str, Engine]
+    weights: dict[str, float]
+    until: float
+
+
 class EngineView:
     """Engines by name with the phase this box gives them.
 
@@ -42,9 +54,11 @@
         self._states: dict[str, _EngineState] = {}
         self._leaving: dict[str, str] = {}
         self._listed_once = False
+        self._serving: dict[str, Serving] = {}
 
     def set_list(self, engines: list[Engine], now: float) -> None:
         """Take over the platform's list; it may be behind."""
+        self._serving.clear()
         names = {engine.name for engine in engines}
         for name in set(self._states) - names:
             del self._states[name]
@@ -66,6 +80,7 @@
     def leaving(self, name: str, incarnation: str) -> None:
         """An engine said, or a peer told, that it takes no new work."""
         self._leaving[name] = incarnation
+        self._serving.clear()
 
     def failed(self, name: str, now: float) -> None:
         """One of this box's calls met a dead or failing engine."""
@@ -74,20 +89,23 @@
             return
         state.flaps = min(state.flaps + 1, self.FLAPS_MAX)
         state.suspect_until = now + self.suspect_seconds * 2 ** (state.flaps - 1)
+        self._serving.clear()
 
     def answered(self, name: str) -> None:
         """One of this box's calls was answered whole."""
         state = self._states.get(name)
-        if state is not None:
+        if state is not None and (state.flaps or state.reporters):
             state.flaps = 0
             state.suspect_until = 0.0
             state.reporters.clear()
+            self._serving.clear()
 
     def reported_failing(self, name: str, incarnation: str, box: str, now: float) -> None:
         """Peer `box` told that its calls to the engine fail."""
         state = self._states.get(name)
         if state is not None and state.engine.incarnation == incarnation:
             state.reporters[box] = now + self.REPORT_SECONDS
+            self._serving.clear()
 
     def phase(self, name: str, now: float) -> Phase:
         """The phase this box gives the engine."""
@@ -111,10 +129,6 @@
         step = RISING_STEPS[min(int(age * len(RISING_STEPS)), len(RISING_STEPS) - 1)]
         return state.engine.weight * step
 
-    def rising_weights(self, engines: Iterable[str], now: float) -> dict[str, float]:
-        """The weights by which chats are drawn: less for those that just came."""
-        return {name: self._weight(self._states[name], now) for name in engines}
-
     def get(self, name: str) -> Engine | None:
         """The engine as listed."""
         state = self._states.get(name)
@@ -131,22 +145,41 @@
             for name, state in self._states.items()
         ]
 
-    def serving(self, service: str, now: float) -> dict[str, Engine]:
+    def serving(self, service: str, now: float) -> Serving:
         """Engines of `service` that may get new work.
 
         If all are suspect, the suspects serve: a wrong suspicion must not
-        stop a service.
+        stop a service.  The same object is given until something changes.
         """
+        kept = self._serving.get(service)
+        if kept is None or now >= kept.until:
+            kept = self._serving[service] = self._work_out(service, now)
+        return kept
+
+    def _work_out(self, service: str, now: float) -> Serving:
         found: dict[str, Engine] = {}
         suspects: dict[str, Engine] = {}
+        until = math.inf
         for name, state in self._states.items():
             if state.engine.service != service:
                 continue
             phase = self.phase(name, now)
-            chosen = {Phase.LIVE: found, Phase.SUSPECT: suspects}.get(phase)
-            if chosen is not None:
-                chosen[name] = state.engine
-        return found or suspects
+            if phase is Phase.LIVE:
+                found[name] = state.engine
+            elif phase is Phase.SUSPECT:
+                suspects[name] = state.engine
+            until = min(until, self._next_change(state, now))
+        engines = found or suspects
+        weights = {name: self._weight(self._states[name], now) for name in engines}
+        return Serving(engines, weights, until)
+
+    def _next_change(self, state: _EngineState, now: float) -> float:
+        """When time alone may change how an engine is treated."""
+        times = [state.suspect_until, *state.reporters.values()]
+        if state.rising:
+            step = self.rising_seconds / len(RISING_STEPS)
+            times += [state.since + step * number for number in range(1, len(RISING_STEPS) + 1)]
+        return min((time for time in times if time > now), default=math.inf)
 
 
 @dataclass(slots=True)
--- a/packages/placement/seamhold_placement/__init__.py
+++ b/packages/placement/seamhold_placement/__init__.py
@@ -1,7 +1,16 @@
 """Rank engines for a chat and keep them within a load bound."""
 
-from .bound import BoundPolicy, Choice, choose
+from .bound import BoundPolicy, Candidate, Choice, Chooser, Totals, choose
 from .load import LoadTable
 from .rank import Ranking
 
-__all__ = ['BoundPolicy', 'Choice', 'LoadTable', 'Ranking', 'choose']
+__all__ = [
+    'BoundPolicy',
+    'Candidate',
+    'Choice',
+    'Chooser',
+    'LoadTable',
+    'Ranking',
+    'Totals',
+    'choose',
+]
--- a/packages/placement/seamhold_placement/bound.py
+++ b/packages/placement/seamhold_placement/bound.py
@@ -7,12 +7,12 @@
 
 At low load the bound is awkward, since one call may be several times the
 mean.  An engine whose load stays within `floor_requests` and `floor_tokens`
-is never over its bound, and where no engine is within it the least loaded
+is never over its bound, both bounds are rounded up to whole calls, and where no engine is within it the least loaded
 one that has a free slot is taken: only a full fleet refuses.
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from seamhold_messages.work import Work
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """One engine in rank order with its load as the box knows it."""
+    """One engine with its load as the box knows it."""
 
     name: str
     load: Work
@@ -40,6 +40,14 @@
     weight: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Totals:
+    """Sums over all engines of the service."""
+
+    weight: float
+    load: Work
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """The engine taken, its rank, and whether any engine was in bound."""
@@ -49,53 +57,75 @@
     in_bound: bool
 
 
-def _limits(candidates: Sequence[Candidate], work: Work, policy: BoundPolicy):
-    """Calls and tokens that an engine of weight one may carry."""
-    weight = sum(engine.weight for engine in candidates)
-    requests = sum(engine.load.requests for engine in candidates) + work.requests
-    tokens = sum(engine.load.tokens for engine in candidates) + work.tokens
-    calls = policy.admit_multiple * requests / weight
-    return calls, policy.admit_multiple * tokens / weight
+#: Picks one of the candidates, which come in rank order, or none.
+Chooser = Callable[[Sequence[Candidate], Totals, Work, BoundPolicy, int | None], Choice | None]
+
 
+@dataclass(frozen=True, slots=True)
+class _Bound:
+    """What an engine of weight one may carry; the floors as they are."""
+
+    calls: float
+    tokens: float
+    policy: BoundPolicy
 
-def _relative(engine: Candidate, calls: float, tokens: float) -> float:
-    """How near the engine is to its bound, in the tighter of the two."""
-    by_calls = engine.load.requests / (calls * engine.weight) if calls else 0.0
-    by_tokens = engine.load.tokens / (tokens * engine.weight) if tokens else 0.0
-    return max(by_calls, by_tokens)
+    def fits(self, engine: Candidate, work: Work) -> bool:
+        """Whether the engine stays within its bound and slots with `work`."""
+        after = engine.load + work
+        if after.requests > engine.slots:
+            return False
+        calls = self.calls * engine.weight
+        calls_bound = max(math.ceil(calls), self.policy.floor_requests)
+        # Tokens are rounded up like calls, or whole calls would not fit.
+        tokens = self.tokens * engine.weight * calls_bound / calls
+        tokens_bound = max(tokens, self.policy.floor_tokens, work.tokens)
+        return after.requests <= calls_bound and after.tokens <= tokens_bound
+
+    def nearness(self, engine: Candidate) -> float:
+        """How near the engine is to its bound, in the tighter of the two."""
+        by_calls = engine.load.requests / (self.calls * engine.weight) if self.calls else 0.0
+        by_tokens = engine.load.tokens / (self.tokens * engine.weight) if self.tokens else 0.0
+        return max(by_calls, by_tokens)
+
+
+def _bound(totals: Totals, work: Work, policy: BoundPolicy) -> _Bound:
+    after = totals.load + work
+    scale = policy.admit_multiple / totals.weight
+    return _Bound(scale * after.requests, scale * after.tokens, policy)
 
 
 def choose(
-    candidates: Sequence[Candidate], work: Work, policy: BoundPolicy, hint: int | None = None
+    candidates: Sequence[Candidate],
+    totals: Totals,
+    work: Work,
+    policy: BoundPolicy,
+    hint: int | None = None,
 ) -> Choice | None:
     """Pick an engine for `work`, or None when every slot is taken.
 
-    `candidates` come in rank order.  `hint` is the rank that holds the
-    chat's cache; it is tried first, and can only name one of them.
+    `candidates` come in rank order and may be worked out as they are read.
+    `hint` is the rank that holds the chat's cache; it is tried first, and
+    can only name one of them.
     """
     if not candidates:
         return None
-    calls, tokens = _limits(candidates, work, policy)
+    bound = _bound(totals, work, policy)
+    if hint is not None and 0 < hint < len(candidates):
+        hinted = candidates[hint]
+        if bound.fits(hinted, work):
+            return Choice(hinted.name, hint, True)
+    for position, engine in enumerate(candidates):
+        if bound.fits(engine, work):
+            return Choice(engine.name, position, True)
+    return _least_loaded(candidates, work, bound)
 
-    def fits(engine: Candidate) -> bool:
-        after = engine.load + work
-        if after.requests > engine.slots:
-            return False
-        calls_bound = max(math.ceil(calls * engine.weight), policy.floor_requests)
-        tokens_bound = max(tokens * engine.weight, policy.floor_tokens, work.tokens)
-        return after.requests <= calls_bound and after.tokens <= tokens_bound
 
-    if hint is not None and 0 < hint < len(candidates) and fits(candidates[hint]):
-        return Choice(candidates[hint].name, hint, True)
+def _least_loaded(candidates: Sequence[Candidate], work: Work, bound: _Bound) -> Choice | None:
+    best = None
     for position, engine in enumerate(candidates):
-        if fits(engine):
-            return Choice(engine.name, position, True)
-    free = [
-        (_relative(engine, calls, tokens), position)
-        for position, engine in enumerate(candidates)
-        if engine.load.requests + work.requests <= engine.slots
-    ]
-    if not free:
-        return None
-    _, position = min(free)
-    return Choice(candidates[position].name, position, False)
+        if engine.load.requests + work.requests > engine.slots:
+            continue
+        nearness = bound.nearness(engine)
+        if best is None or nearness < best[0]:
+            best = (nearness, position, engine.name)
+    return None if best is None else Choice(best[2], best[1], False)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -22,11 +22,11 @@
 from seamhold_messages.errors import NoEngine, SeamholdError
 from seamhold_messages.fleet import Box, Engine
 from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
-from seamhold_placement import BoundPolicy, LoadTable, choose
+from seamhold_placement import BoundPolicy, Chooser, LoadTable, choose
 from seamhold_settings import Tree
 from seamhold_settings.resolve import DEFAULTS
 
-from .service import Chooser, ServicePlan, ServiceRouter
+from .service import ServicePlan, ServiceRouter
 
 #: Events that one digest carries at most.
 EVENTS_PER_DIGEST = 8
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -1,16 +1,20 @@
 """Where the calls of one service go."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from seamhold_limits import WaitQueue
-from seamhold_membership import EngineView
-from seamhold_messages.work import Call, Placed, Work
-from seamhold_placement import BoundPolicy, LoadTable, Ranking, choose
-from seamhold_placement.bound import Candidate, Choice
-
-#: Picks one of the candidates, which come in rank order, or none.
-Chooser = Callable[[Sequence[Candidate], Work, BoundPolicy, int | None], Choice | None]
+from seamhold_membership import EngineView, Serving
+from seamhold_messages.work import Call, Placed
+from seamhold_placement import (
+    BoundPolicy,
+    Candidate,
+    Chooser,
+    LoadTable,
+    Ranking,
+    Totals,
+    choose,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +30,43 @@
     patience: float = 0.0
 
 
+class RankedEngines(Sequence[Candidate]):
+    """The engines for one chat, best first, worked out as they are read."""
+
+    def __init__(
+        self,
+        chat: str,
+        excluded: frozenset[str],
+        ranking: Ranking,
+        serving: Serving,
+        loads: LoadTable,
+    ):
+        self._chat = chat
+        self._excluded = excluded
+        self._ranking = ranking
+        self._serving = serving
+        self._loads = loads
+        self._names = self._without_excluded(ranking.first(chat))
+        self._length = len(serving.engines) - sum(name in serving.engines for name in excluded)
+
+    def _without_excluded(self, names: list[str]) -> list[str]:
+        if not self._excluded:
+            return names
+        return [name for name in names if name not in self._excluded]
+
+    def __len__(self) -> int:
+        return self._length
+
+    def __getitem__(self, position: int) -> Candidate:
+        if position >= self._length:
+            raise IndexError(position)
+        if position >= len(self._names):
+            self._names = self._without_excluded(self._ranking.order(self._chat))
+        name = self._names[position]
+        engine = self._serving.engines[name]
+        return Candidate(name, self._loads.estimate(name), engine.slots, engine.weight)
+
+
 class ServiceRouter:
     """Ranks, bounds and queues the calls of one service on one box."""
 
@@ -33,11 +74,14 @@
         self.name = name
         self.plan = ServicePlan()
         self.queue = WaitQueue(self.plan.queue_calls)
+        #: Ids of calls that wait for the engine that holds their cache.
+        self.patient: list[str] = []
         self._engines = engines
         self._loads = loads
         self._chooser = chooser
         self._ranking = Ranking()
-        self.patient: list[str] = []
+        self._serving: Serving | None = None
+        self._weight = 0.0
 
     def use_plan(self, plan: ServicePlan) -> None:
         """Take over changed settings."""
@@ -47,22 +91,28 @@
     def any_engine(self, now: float, excluded: frozenset[str] = frozenset()) -> bool:
         """Whether some engine that is not excluded may get work."""
         serving = self._engines.serving(self.name, now)
-        return any(name not in excluded for name in serving)
+        return any(name not in excluded for name in serving.engines)
+
+    def _look(self, now: float) -> Serving:
+        """The engines that serve now; what hangs on them is kept up."""
+        serving = self._engines.serving(self.name, now)
+        if serving is not self._serving:
+            self._serving = serving
+            self._ranking.set_weights(serving.weights)
+            self._loads.set_group(self.name, serving.engines)
+            self._weight = sum(engine.weight for engine in serving.engines.values())
+        return serving
 
     def place(self, call: Call, now: float) -> Placed | None:
         """An engine for the call, or None while all are full.
 
         The caller notes the work in the load table.
         """
-        serving = self._engines.serving(self.name, now)
-        self._ranking.set_weights(self._engines.rising_weights(serving, now))
-        candidates = [
-            Candidate(name, self._loads.estimate(name), serving[name].slots, serving[name].weight)
-            for name in self._ranking.order(call.chat)
-            if name not in call.excluded
-        ]
-        choice = self._chooser(candidates, call.work, self.plan.bound, call.hint)
+        serving = self._look(now)
+        candidates = RankedEngines(call.chat, call.excluded, self._ranking, serving, self._loads)
+        totals = Totals(self._weight, self._loads.total(self.name))
+        choice = self._chooser(candidates, totals, call.work, self.plan.bound, call.hint)
         if choice is None:
             return None
-        spilled = choice.rank > 0
-        return Placed(call.id, choice.name, serving[choice.name].address, choice.rank, spilled)
+        address = serving.engines[choice.name].address
+        return Placed(call.id, choice.name, address, choice.rank, choice.rank > 0)
--- a/scenarios/mutants.py
+++ b/scenarios/mutants.py
@@ -18,6 +18,15 @@
 FAILED_MARKS = ('FAILURE in step', 'FleetError: waited')
 
 
+@dataclass(frozen=True)
+class Edit:
+    """One text of a file and what takes its place."""
+
+    file: str
+    old: str
+    new: str
+
+
 @dataclass(frozen=True)
 class Mutant:
     """One mechanism switched off, and the scenario that must fail for it."""
@@ -27,8 +36,15 @@
     old: str
     new: str
     scenario: str
+    also: tuple[Edit, ...] = ()
+
+    @property
+    def edits(self) -> tuple[Edit, ...]:
+        """All that is changed."""
+        return (Edit(self.file, self.old, self.new), *self.also)
 
 
+RUNNER = 'router/seamhold/runner.py'
 MUTANTS = (
     Mutant(
         'a used ticket is not looked at',
@@ -120,6 +136,12 @@
         'if waiting.call.deadline <= now',
         'if False',
         'A call whose time runs out in the queue is not run',
+        # The request's own thread keeps the deadline too.
+        also=(
+            Edit(RUNNER, 'wait = max(0.0, self._remaining(job))', 'wait = 60.0'),
+            Edit(RUNNER, 'if self._remaining(job) <= 0:', 'if False:'),
+            Edit(RUNNER, 'job.request, self._remaining(job))', 'job.request, 60.0)'),
+        ),
     ),
     Mutant(
         'an engine that leaves is not remembered',
@@ -184,11 +206,12 @@
     """Copy the packages with one mechanism off; the path to import from."""
     packages = folder / 'packages'
     shutil.copytree(ROOT / 'packages', packages, ignore=shutil.ignore_patterns('__pycache__'))
-    file = packages / mutant.file
-    text = file.read_text(encoding='utf-8')
-    if mutant.old not in text:
-        raise SystemExit(f'{mutant.name}: {mutant.file} has changed, mend the mutant')
-    file.write_text(text.replace(mutant.old, mutant.new), encoding='utf-8')
+    for edit in mutant.edits:
+        file = packages / edit.file
+        text = file.read_text(encoding='utf-8')
+        if edit.old not in text:
+            raise SystemExit(f'{mutant.name}: {edit.file} has changed, mend the mutant')
+        file.write_text(text.replace(edit.old, edit.new), encoding='utf-8')
     return [str(path) for path in sorted(packages.iterdir())]
 
 
