--- a/measure/drive.py
+++ b/measure/drive.py
@@ -13,7 +13,7 @@
 from seamhold_messages.work import Call, Placed, Refused, Work
 from seamhold_peers import MESSAGE_OVERHEAD_BYTES, encode_digest
 from seamhold_placement import LoadTable
-from seamhold_routing import Router
+from seamhold_routing import Router, hint_for
 from seamhold_settings import FleetSpec, Tree
 from seamhold_settings.schema import Control, Placement, WorkspaceSpec
 
@@ -248,7 +248,7 @@
             chat.name,
             Work(1, prompt + output),
             self.now + DEADLINE_SECONDS,
-            hint=chat.hint if self.way.hints else None,
+            hint=chat.hint if self.way.hints else '',
         )
         self._live[call.id] = (box, '', chat, (prompt, output))
         self._asked[call.id] = self.now
@@ -276,8 +276,8 @@
         cached = engine.read(chat.name, chat.prompt)
         self.tally.reusable += chat.seen
         self.tally.reused += min(cached, chat.seen)
-        self.tally.spilled += placed.rank > 0
-        chat.hint = placed.rank
+        self.tally.spilled += placed.spilled
+        chat.hint = hint_for(placed.engine)
         work = Work(1, prompt + output)
         engine.load += work
         self.tally.waits.append(self.now - self._asked.pop(placed.call_id, self.now))
--- a/measure/fakes.py
+++ b/measure/fakes.py
@@ -83,7 +83,7 @@
     workspace: str
     prompt: int
     seen: int = 0
-    hint: int | None = None
+    hint: str = ''
     busy: bool = False
 
 
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -42,7 +42,7 @@
     """One call that asks for a place.
 
     `chat` is the salted key that ranks engines; `deadline` is in seconds on
-    the clock of the box that decides; `hint` is the rank that served the
+    the clock of the box that decides; `hint` tells which engine served the
     chat's last turn, or None; `excluded` holds engines already tried.
     """
 
@@ -53,13 +53,17 @@
     work: Work
     deadline: float
     priority: Priority = Priority.NORMAL
-    hint: int | None = None
+    hint: str = ''
     excluded: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """The call goes to `engine`, which stands at `rank` for its chat."""
+    """The call goes to `engine`, which stands at `rank` for its chat.
+
+    `spilled` tells that it is not the one that holds the chat's cache, as
+    far as that is known.
+    """
 
     call_id: str
     engine: str
--- a/packages/placement/seamhold_placement/bound.py
+++ b/packages/placement/seamhold_placement/bound.py
@@ -6,9 +6,10 @@
 `admit_multiple` is therefore tighter than the multiple that is promised.
 
 At low load the bound is awkward, since one call may be several times the
-mean.  An engine whose load stays within `floor_requests` and `floor_tokens`
-is never over its bound, both bounds are rounded up to whole calls, and where no engine is within it the least loaded
-one that has a free slot is taken: only a full fleet refuses.
+mean.  So both bounds are rounded up to whole calls, an engine whose load
+stays within `floor_requests` and `floor_tokens` is never over its bound, and
+where no engine is within it the least loaded one that has a free slot is
+taken: only a full fleet refuses.
 """
 
 import math
@@ -110,7 +111,7 @@
     if not candidates:
         return None
     bound = _bound(totals, work, policy)
-    if hint is not None and 0 < hint < len(candidates):
+    if hint is not None and 0 <= hint < len(candidates):
         hinted = candidates[hint]
         if bound.fits(hinted, work):
             return Choice(hinted.name, hint, True)
--- a/packages/router/seamhold/callers.py
+++ b/packages/router/seamhold/callers.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import math
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -29,7 +30,7 @@
 BODY_MAX_BYTES = 64 * 1024 * 1024
 KEY_MAX_CHARS = 255
 FIRST_MESSAGES = 2
-HINT_MAX = 64
+HINT_FORM = re.compile('[0-9a-f]{8}')
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,11 +187,10 @@
     return min(asked, most)
 
 
-def _hint(incoming: Incoming) -> int | None:
+def _hint(incoming: Incoming) -> str:
+    """The chat hint, or none: one that cannot be read is no reason to fail."""
     text = incoming.headers.get(names.CHAT_HINT, '')
-    if not text.isascii() or not text.isdigit() or int(text[:4]) > HINT_MAX:
-        return None
-    return int(text)
+    return text if HINT_FORM.fullmatch(text) else ''
 
 
 def _prepared(
--- a/packages/router/seamhold/desk.py
+++ b/packages/router/seamhold/desk.py
@@ -17,6 +17,7 @@
 )
 from seamhold_peers import AnswerEnd, AnswerHead, AnswerPart, ClaimAsk, RelayedCall
 from seamhold_peers.calls import Header
+from seamhold_routing import hint_for
 from seamhold_settings.schema import PlatformOutage
 
 from . import headers as names
@@ -131,7 +132,7 @@
         headers = names.towards_caller(answer.headers.items())
         headers[REQUEST_ID_HEADER] = prepared.call.id
         headers[names.SERVED_BY] = f'{answer.placed.engine}; rank={answer.placed.rank}'
-        headers[names.CHAT_HINT] = str(answer.placed.rank)
+        headers[names.CHAT_HINT] = hint_for(answer.placed.engine)
         answer.headers = headers
         if not isinstance(answer.body, bytes):
             answer.body = self._with_problem(answer.body, prepared.call.id)
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -1,5 +1,6 @@
 """Puts one box together, runs it, and stops it in good order."""
 
+import os
 import random
 import signal
 import threading
@@ -28,6 +29,7 @@
 from .peer_handler import BoxPeerHandler
 from .peering import Peering
 from .runner import Runner
+from .status import ExitStatus
 from .tickets import TicketDesk
 
 OPERATOR_THREADS = 4
@@ -161,8 +163,12 @@
         self._stops_wanted += 1
         self._stopping.set()
 
-    def wait(self) -> None:
-        """Serve until a stop is asked for, then leave in good order."""
+    def wait(self) -> int:
+        """Serve until a stop is asked for, then leave in good order.
+
+        The number of calls that are cut: none, unless a second stop was
+        asked for or the limit has passed.
+        """
         self._stopping.wait()
         self._log.info('box.draining', calls=self.gate.active)
         self.gate.draining = True
@@ -171,8 +177,11 @@
         self._wait_unless_cut(self.config.drain_grace, until_empty=False)
         self.gate.close()
         self._wait_unless_cut(self.config.drain_limit, until_empty=True)
-        self._log.info('box.stopped', calls_cut=self.gate.active)
-        self._shut()
+        cut = self.gate.active
+        self._log.info('box.stopped', calls_cut=cut)
+        if not cut:
+            self._shut()
+        return cut
 
     def _wait_unless_cut(self, seconds: float, until_empty: bool) -> None:
         ends = self.environment.monotonic() + seconds
@@ -201,4 +210,6 @@
     for number in SIGNALS:
         signal.signal(number, lambda *_: process.ask_stop())
     process.start()
-    process.wait()
+    if process.wait():
+        # Threads that still write would keep the process alive.
+        os._exit(ExitStatus.ERROR)
--- a/packages/routing/seamhold_routing/__init__.py
+++ b/packages/routing/seamhold_routing/__init__.py
@@ -1,6 +1,6 @@
 """One box's decisions: where a call runs, whether it waits, or why it is refused."""
 
 from .router import Router
-from .service import ServicePlan
+from .service import ServicePlan, hint_for
 
-__all__ = ['Router', 'ServicePlan']
+__all__ = ['Router', 'ServicePlan', 'hint_for']
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -177,7 +177,7 @@
         if placed is None:
             return self._enqueue(service, call, now)
         patient = now < self._active[call.id].patient_until
-        if patient and placed.rank != (call.hint or 0):
+        if patient and placed.spilled:
             service.patient.append(call.id)
             return [Queued(call.id)]
         return [self._start(placed, call)]
@@ -245,7 +245,7 @@
         active = self._active.get(call_id)
         if active is not None:
             excluded = active.call.excluded | {engine}
-            active.call = replace(active.call, excluded=excluded, hint=None)
+            active.call = replace(active.call, excluded=excluded, hint='')
 
     def close(self, call_id: str, now: float) -> list[Decision]:
         """The call is over, or its caller left while it waited."""
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -5,6 +5,7 @@
 
 from seamhold_limits import WaitQueue
 from seamhold_membership import EngineView, Serving
+from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Call, Placed
 from seamhold_placement import (
     BoundPolicy,
@@ -16,6 +17,9 @@
     choose,
 )
 
+#: Ranks among which a caller's hint may find an engine.
+HINT_RANKS = 5
+
 
 @dataclass(frozen=True, slots=True)
 class ServicePlan:
@@ -54,6 +58,20 @@
             return names
         return [name for name in names if name not in self._excluded]
 
+    def place_of(self, hint: str) -> int | None:
+        """The rank of the engine that a hint tells, if it is an early one.
+
+        A hint names an engine and not a rank, since ranks shift as engines
+        come and go; that it is looked for only among the chat's own early
+        ranks leaves nothing to gain by making one up.
+        """
+        if not hint:
+            return None
+        for position, name in enumerate(self._names[:HINT_RANKS]):
+            if hint_for(name) == hint:
+                return position
+        return None
+
     def __len__(self) -> int:
         return self._length
 
@@ -67,6 +85,11 @@
         return Candidate(name, self._loads.estimate(name), engine.slots, engine.weight)
 
 
+def hint_for(engine: str) -> str:
+    """What a caller hands back so that a chat finds this engine again."""
+    return f'{hash32(engine):08x}'
+
+
 class ServiceRouter:
     """Ranks, bounds and queues the calls of one service on one box."""
 
@@ -111,8 +134,10 @@
         serving = self._look(now)
         candidates = RankedEngines(call.chat, call.excluded, self._ranking, serving, self._loads)
         totals = Totals(self._weight, self._loads.total(self.name))
-        choice = self._chooser(candidates, totals, call.work, self.plan.bound, call.hint)
+        hint = candidates.place_of(call.hint)
+        choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
         if choice is None:
             return None
         address = serving.engines[choice.name].address
-        return Placed(call.id, choice.name, address, choice.rank, choice.rank > 0)
+        spilled = choice.rank != (hint or 0)
+        return Placed(call.id, choice.name, address, choice.rank, spilled)
--- a/scenarios/leaving.feature
+++ b/scenarios/leaving.feature
@@ -69,6 +69,19 @@
     And call "c" is answered whole
     And "box-1" has left with status 0
 
+  Scenario: Only a second signal cuts what is in flight
+    Given 2 boxes and 1 slow engines
+    When these calls are sent
+      | call | box   | mark | stream | tokens | route        |
+      | a    | box-1 | a    | yes    | 200    | substitution |
+    And an engine has begun call "a"
+    And "box-1" is asked to stop
+    And 1 s pass
+    And "box-1" is asked to stop
+    Then "box-1" has left with status 1
+    And call "a" is broken off
+    And the engine cancelled call "a"
+
   Scenario: A box is drained by the command line
     Given 2 boxes and 1 slow engines
     When these calls are sent
--- a/scenarios/mutants.py
+++ b/scenarios/mutants.py
@@ -161,7 +161,7 @@
         'a stop does not wait',
         'router/seamhold/serve.py',
         'self._wait_unless_cut(self.config.drain_limit, until_empty=True)',
-        'pass',
+        '__import__("os")._exit(0)',
         'A box is stopped with long streams in flight',
     ),
     Mutant(
