--- a/measure/drive.py
+++ b/measure/drive.py
@@ -324,24 +324,26 @@
         if name not in self.routers:
             return
         if self.way.knowledge == 'digests':
-            peers = [peer for peer in self.routers if peer != name]
+            peers = [box.name for box in self.routers[name].boxes.neighbours()]
             self.chance.shuffle(peers)
             for peer in peers:
-                self._tell_peer(name, peer)
+                if peer in self.routers and not self._tell_peer(name, peer):
+                    break
         pause = self.way.digest_seconds * self.chance.uniform(0.9, 1.1)
         self.at(self.now + pause, self._tell, name)
 
-    def _tell_peer(self, name: str, peer: str) -> None:
+    def _tell_peer(self, name: str, peer: str) -> bool:
         router = self.routers[name]
         digest = router.digest_for(peer, 1, 1, self.now)
         size = encode_digest(digest, False).ByteSize() + MESSAGE_OVERHEAD_BYTES
         if not self.budgets[name].take(size, self.now):
             self.tally.denied += 1
-            return
+            return False
         self.tally.bytes += size
         self.tally.messages += 1
         router.digest_sent(peer, digest, self.now)
         self.at(self.now + self.deployment.latency, self._hear, peer, digest)
+        return True
 
     def _hear(self, peer: str, digest) -> None:
         if peer in self.routers:
--- a/packages/router/seamhold/claims.py
+++ b/packages/router/seamhold/claims.py
@@ -13,14 +13,17 @@
 )
 from seamhold_peers import ClaimAsk
 from seamhold_platform import ObjectKind, PlatformClient, PlatformObject
+from seamhold_settings.schema import Control
 
 from .context import Environment
 from .metrics import Metrics
 from .tasks import Ask, Task
 
-#: Pause between two tries at a bucket, and the least gap between writes.
+#: Pause after a try that failed.
 RETRY_SECONDS = 0.05
-WRITE_GAP_SECONDS = 0.05
+#: Writes a second that all buckets together may cost the platform: half of
+#: what it takes.
+WRITES_PER_SECOND = 50
 
 
 @dataclass(slots=True)
@@ -51,8 +54,10 @@
 class ClaimWriter(Task):
     """Owns the buckets that this box writes.
 
-    Claims wait while a write is under way and then share the next one.  The
-    copy of a bucket saves a read; a conflict shows that it was old.
+    A claim for a bucket that was not written lately is written at once.
+    Under load the others wait and share the next write, so that all buckets
+    together stay within `WRITES_PER_SECOND` however many calls there are.
+    The copy of a bucket saves a read; a conflict shows that it was old.
     """
 
     name = 'claims'
@@ -62,32 +67,39 @@
         platform: PlatformClient,
         environment: Environment,
         metrics: Metrics,
-        lifetime: Callable[[], float],
+        control: Callable[[], Control],
     ):
         super().__init__()
         self._platform = platform
         self._environment = environment
         self._metrics = metrics
-        self._lifetime = lifetime
+        self._control = control
         self._held: dict[int, _Held] = {}
         self._waiting: dict[int, list[WantClaim]] = defaultdict(list)
         self._releases: dict[int, deque[ReleaseClaim]] = defaultdict(deque)
-        self._next_write = 0.0
+        self._next_write: dict[int, float] = {}
         self.handlers = {WantClaim: self._want, ReleaseClaim: self._release}
 
     def patience(self) -> float | None:
-        """Writes wait for the gap, so that more claims gather."""
-        if not self._waiting and not self._releases:
+        """Seconds until the next bucket may be written."""
+        due = self._next_due()
+        if due is None:
             return None
-        return max(0.0, self._next_write - self._environment.monotonic())
+        return max(0.0, self._next_write.get(due, 0.0) - self._environment.monotonic())
 
     def idle(self) -> None:
-        """Write one bucket."""
-        bucket = next(iter(self._waiting or self._releases), None)
-        if bucket is None:
+        """Write the bucket that is due."""
+        due = self._next_due()
+        if due is None:
             return
-        self._write(bucket)
-        self._next_write = self._environment.monotonic() + WRITE_GAP_SECONDS
+        gap = self._control().claim_buckets / WRITES_PER_SECOND
+        self._next_write[due] = self._environment.monotonic() + gap
+        self._write(due)
+
+    def _next_due(self) -> int | None:
+        """The bucket with something to write that may be written first."""
+        wanted = self._waiting.keys() | self._releases.keys()
+        return min(wanted, key=lambda number: self._next_write.get(number, 0.0), default=None)
 
     def _want(self, message: WantClaim) -> WantClaim:
         message.expires = self._environment.monotonic() + message.ask.wait
@@ -132,7 +144,7 @@
             held = self._held.get(number) or self._read(number)
             bucket = ClaimBucket(held.bucket.claims)
             now = self._environment.unix_time()
-            bucket.forget(now - self._lifetime())
+            bucket.forget(now - self._control().claim_seconds)
             for release in releases:
                 bucket.release(release.key, release.owner)
             states = [bucket.ask(self._claim(message.ask, now)) for message in wanted]
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -150,6 +150,7 @@
     in_flight: int
     live_boxes: tuple[str, ...]
     boxes: tuple[BoxReport, ...]
+    neighbours: tuple[str, ...]
     engines: tuple[EngineReport, ...]
     counts: dict[str, int]
 
@@ -286,5 +287,10 @@
             )
         live = tuple(router.boxes.live(now))
         return DeciderReport(
-            router.in_flight, live, boxes, tuple(engines), dict(sorted(router.counts.items()))
+            router.in_flight,
+            live,
+            boxes,
+            tuple(box.name for box in router.boxes.neighbours()),
+            tuple(engines),
+            dict(sorted(router.counts.items())),
         )
--- a/packages/router/seamhold/editing.py
+++ b/packages/router/seamhold/editing.py
@@ -194,7 +194,9 @@
 
 def to_yaml(value: object) -> str:
     """YAML as a person would write it."""
-    return yaml.safe_dump(value, sort_keys=False, allow_unicode=True).rstrip()
+    text = yaml.safe_dump(value, sort_keys=False, allow_unicode=True).rstrip()
+    # A value on its own is closed by a mark that a person has no use for.
+    return text.removesuffix('...').rstrip()
 
 
 def difference(old: object, new: object, old_name: str, new_name: str) -> str:
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -66,11 +66,13 @@
         self._chance = chance
         self._log = logger('peering')
         self.names = NameTable()
-        self.roster = DeciderReport(0, (config.box,), (), (), {})
+        self.roster = DeciderReport(0, (config.box,), (), (), (), {})
         control = keeper.snapshot.tree.fleet.control
         now = environment.monotonic()
         self.budget = ByteBudget(control.control_bytes_per_second, now)
+        self._addresses: dict[str, str] = {}
         self._clients: dict[str, PeerClient] = {}
+        self._others: dict[str, PeerClient] = {}
         self._quiet_until: dict[str, float] = {}
         self._pulling: set[str] = set()
         self.loop = asyncio.new_event_loop()
@@ -96,8 +98,17 @@
         return asyncio.run_coroutine_threadsafe(work, self.loop)
 
     def client(self, box: str) -> PeerClient | None:
-        """The connection to a box that is listed."""
-        return self._clients.get(box)
+        """The connection to a neighbour, or one made for any listed box."""
+        found = self._clients.get(box) or self._others.get(box)
+        if found is None and box in self._addresses:
+            # A channel belongs to the loop that is running when it is made.
+            found = self.submit(self._connect_other(box)).result(STOP_SECONDS)
+        return found
+
+    async def _connect_other(self, box: str) -> PeerClient:
+        client = PeerClient(self._addresses[box])
+        self._others[box] = client
+        return client
 
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
@@ -146,7 +157,7 @@
     async def _shut(self) -> None:
         for task in self._background:
             task.cancel()
-        for client in self._clients.values():
+        for client in [*self._clients.values(), *self._others.values()]:
             client.close()
         await self._server.stop()
 
@@ -172,12 +183,17 @@
         self.roster = report
         self.names.add(engine.name for engine in report.engines)
         self.names.add(self._keeper.snapshot.tree.workspaces)
-        self._connect({box.name: box.peer_address for box in report.boxes})
+        self._addresses = {box.name: box.peer_address for box in report.boxes}
+        self._connect({name: self._addresses[name] for name in report.neighbours})
         self.budget.rate = self._keeper.snapshot.tree.fleet.control.control_bytes_per_second
         if not self.ready:
             await self._pull_from_anyone()
 
     def _connect(self, wanted: dict[str, str]) -> None:
+        for name, client in list(self._others.items()):
+            if self._addresses.get(name) != client.address:
+                client.close()
+                del self._others[name]
         for name, client in list(self._clients.items()):
             if wanted.get(name) != client.address:
                 client.close()
@@ -216,13 +232,16 @@
         # A random order, so that a short budget starves no one peer.
         self._chance.shuffle(peers)
         for name in peers:
-            await self._tell(name)
+            if not await self._tell(name):
+                # The budget is spent: making more digests would be in vain.
+                return
 
-    async def _tell(self, name: str) -> None:
+    async def _tell(self, name: str) -> bool:
+        """Tell one peer; False if the budget does not allow it."""
         client = self._clients.get(name)
         now = self._environment.monotonic()
         if client is None or now < self._quiet_until.get(name, 0.0):
-            return
+            return True
         first = not client.telling
         if first:
             self._decider.send(DigestFailed(name))
@@ -233,15 +252,16 @@
         size = part.ByteSize() + MESSAGE_OVERHEAD_BYTES + (CONNECT_BYTES if first else 0)
         if not self.budget.take(size, now):
             self._metrics.count('control.denied')
-            return
+            return False
         try:
             await client.tell(part)
         except BROKEN:
             await self._lost(name, client)
-            return
+            return True
         self._metrics.count('control.bytes', size)
         self._metrics.count('control.messages')
         self._decider.send(DigestSent(name, digest))
+        return True
 
     async def _lost(self, name: str, client: PeerClient) -> None:
         self._metrics.count('peers.unreachable')
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -11,6 +11,7 @@
 from seamhold_platform import ObjectKind, PlatformClient
 from seamhold_routing import Router
 from seamhold_settings import Tree
+from seamhold_settings.schema import Control
 
 from .claims import ClaimWriter
 from .config import BoxConfig
@@ -52,7 +53,7 @@
         self.platform = PlatformClient(config.platform_url)
         self.decider = Decider(Router(config.box, self.incarnation), clock)
         self.keeper = SettingsKeeper(self.metrics, self._settings_changed)
-        self.claims = ClaimWriter(self.platform, environment, self.metrics, self._claim_lifetime)
+        self.claims = ClaimWriter(self.platform, environment, self.metrics, self._control)
         self.tickets = TicketDesk(TicketBook(config.box, self.incarnation), clock)
         self.budget = RetryBudget()
         self.engines = EngineClient()
@@ -140,8 +141,8 @@
         self.decider.send(SetBoxes(boxes))
         self.peering.boxes_changed()
 
-    def _claim_lifetime(self) -> float:
-        return self.keeper.snapshot.tree.fleet.control.claim_seconds
+    def _control(self) -> Control:
+        return self.keeper.snapshot.tree.fleet.control
 
     # Life and end.
 
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -123,7 +123,8 @@
         self.loads.set_peer(digest.box, whole.loads)
         self.limits.set_peer(digest.box, whole.usage, now)
         if digest.leaving:
-            self.boxes.leaving(digest.box, digest.incarnation)
+            event = Event(EventKind.BOX_LEAVING, digest.box, digest.incarnation, digest.box)
+            self._take_event(event, now)
         for event in digest.events:
             self._take_event(event, now)
         return self._drain_queues(now)
@@ -138,6 +139,8 @@
             self.engines.reported_failing(event.subject, event.incarnation, event.origin, now)
         elif event.kind is EventKind.BOX_LEAVING:
             self.boxes.leaving(event.subject, event.incarnation)
+        elif event.kind is EventKind.BOX_GONE:
+            self.boxes.reported_gone(event.subject, event.origin, now)
 
     def engine_leaving(self, name: str, now: float) -> None:
         """An engine told this box that it takes no new work."""
@@ -269,12 +272,18 @@
     def tick(self, now: float) -> list[Decision]:
         """Expire what waited too long and forget boxes that went silent."""
         for name in self.boxes.silent(now):
+            self._tell_gone(name, now)
             self.loads.drop_peer(name)
             self._receiver.forget(name)
             self._sender.forget(name)
         self._share_between_live(now)
         return self._drain_queues(now)
 
+    def _tell_gone(self, name: str, now: float) -> None:
+        box = self.boxes.get(name)
+        if box is not None and box.incarnation:
+            self._take_event(Event(EventKind.BOX_GONE, name, box.incarnation, self.box), now)
+
     def _share_between_live(self, now: float) -> None:
         self.limits.set_boxes(self.boxes.live(now))
 
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,172 @@
+"""Retries, tickets and claims."""
+
+import threading
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from seamhold.claims import WRITES_PER_SECOND, ClaimWriter, ReleaseClaim, WantClaim
+from seamhold.context import Environment
+from seamhold.metrics import Metrics
+from seamhold_attempts import (
+    ClaimBucket,
+    ClaimState,
+    Outcome,
+    RetryBudget,
+    RetryRule,
+    TicketBook,
+    may_retry,
+    parse_ticket,
+)
+from seamhold_attempts.claims import Claim
+from seamhold_messages.errors import (
+    ClaimsUnavailable,
+    KeyInUse,
+    KeyMismatch,
+    TicketsFull,
+    TicketUnknown,
+)
+from seamhold_peers import ClaimAsk
+from seamhold_platform import ObjectKind, PlatformClient
+from seamhold_settings.schema import Control
+from standins.platform import Platform
+
+
+class TestRetry(testtools.TestCase):
+    @given(st.sampled_from(Outcome), st.integers(1, 5), st.booleans())
+    def test_a_call_that_may_have_run_is_not_sent_again(self, outcome, tried, passed):
+        allowed = may_retry(RetryRule(False, 5), outcome, tried, passed)
+        if allowed:
+            self.assertIn(outcome, (Outcome.NOT_SENT, Outcome.ENGINE_REFUSED))
+
+    def test_no_second_answer_begins_after_part_of_one(self):
+        self.assertFalse(may_retry(RetryRule(True, 5), Outcome.BROKEN, 1, passed=True))
+
+    def test_the_budget_is_a_part_of_first_attempts(self):
+        budget = RetryBudget(0.1)
+        while budget.take():
+            pass
+        for _ in range(100):
+            budget.first_attempt()
+        self.assertIn(sum(budget.take() for _ in range(50)), (9, 10))
+
+
+class TestTickets(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.book = TicketBook('box-1', 'abc', most=3)
+
+    def test_once(self):
+        (ticket,) = self.book.mint('w', 1, 10, 0.0)
+        name = parse_ticket(ticket)
+        self.book.begin(name, 'w', 'body', 1.0)
+        self.assertRaises(KeyInUse, self.book.begin, name, 'w', 'body', 2.0)
+        self.assertRaises(KeyMismatch, self.book.begin, name, 'w', 'other', 2.0)
+
+    def test_again_after_it_did_not_run(self):
+        (ticket,) = self.book.mint('w', 1, 10, 0.0)
+        name = parse_ticket(ticket)
+        self.book.begin(name, 'w', 'body', 1.0)
+        self.book.not_run(name)
+        self.book.begin(name, 'w', 'body', 2.0)
+        self.book.done(name)
+        self.book.not_run(name)
+        self.assertRaises(KeyInUse, self.book.begin, name, 'w', 'body', 3.0)
+
+    def test_of_another_workspace_incarnation_or_time(self):
+        (ticket,) = self.book.mint('w', 1, 10, 0.0)
+        name = parse_ticket(ticket)
+        self.assertRaises(TicketUnknown, self.book.begin, name, 'v', 'body', 1.0)
+        self.assertRaises(TicketUnknown, self.book.begin, name, 'w', 'body', 10.0)
+        anew = TicketBook('box-1', 'def')
+        self.assertRaises(TicketUnknown, anew.begin, name, 'w', 'body', 1.0)
+
+    def test_the_book_has_an_end(self):
+        self.book.mint('w', 3, 10, 0.0)
+        self.assertRaises(TicketsFull, self.book.mint, 'w', 1, 10, 5.0)
+        self.book.mint('w', 1, 10, 11.0)
+
+    def test_what_is_no_ticket(self):
+        for text in ('', 'a', 'a.b', 'a..c', 'a.b.c.d'):
+            self.assertRaises(TicketUnknown, parse_ticket, text)
+
+
+class TestClaimBucket(testtools.TestCase):
+    def test_the_first_owner_stays(self):
+        bucket = ClaimBucket()
+        self.assertIs(ClaimState.OWNED, bucket.ask(Claim('k', 'a', 'body', 1.0)))
+        self.assertIs(ClaimState.OWNED, bucket.ask(Claim('k', 'a', 'body', 2.0)))
+        self.assertIs(ClaimState.TAKEN, bucket.ask(Claim('k', 'b', 'body', 2.0)))
+        self.assertIs(ClaimState.MISMATCH, bucket.ask(Claim('k', 'b', 'other', 2.0)))
+        self.assertFalse(bucket.release('k', 'b'))
+        again = ClaimBucket.from_spec(bucket.to_spec())
+        self.assertEqual(bucket.claims, again.claims)
+        self.assertTrue(again.release('k', 'a'))
+
+
+class TestClaimWriter(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.server = Platform().start()
+        self.addCleanup(self.server.stop)
+        self.platform = PlatformClient(f'http://127.0.0.1:{self.server.port}')
+        self.writer = self.make_writer()
+
+    def make_writer(self) -> ClaimWriter:
+        writer = ClaimWriter(self.platform, Environment(), Metrics(), Control)
+        writer.start()
+        self.addCleanup(writer.stop)
+        return writer
+
+    def want(self, writer, key, owner, wait=2.0, bucket=0):
+        ask = ClaimAsk(bucket, key, owner, 'body', wait)
+        return writer.ask(WantClaim(ask))
+
+    def test_many_claims_share_few_writes(self):
+        replies = [self.want(self.writer, f'k{number}', f'o{number}') for number in range(200)]
+        states = {reply.result(5) for reply in replies}
+        self.assertEqual({ClaimState.OWNED}, states)
+        self.assertLessEqual(self.server.counts['write.claims'], 4)
+
+    def test_two_writers_never_both_own_a_key(self):
+        other = self.make_writer()
+        pairs = []
+        for number in range(20):
+            pairs.append(
+                [self.want(self.writer, f'k{number}', 'a'), self.want(other, f'k{number}', 'b')]
+            )
+        for pair in pairs:
+            states = sorted(reply.result(5) for reply in pair)
+            self.assertEqual([ClaimState.OWNED, ClaimState.TAKEN], states)
+
+    def test_a_lost_answer_is_found_again(self):
+        self.server.set_faults({'lose_answers': 1})
+        self.assertIs(ClaimState.OWNED, self.want(self.writer, 'k', 'a').result(5))
+        self.assertIs(ClaimState.TAKEN, self.want(self.writer, 'k', 'b').result(5))
+
+    def test_an_outage_is_told_in_time(self):
+        self.server.set_faults({'down': True})
+        reply = self.want(self.writer, 'k', 'a', wait=0.3)
+        self.assertRaises(ClaimsUnavailable, reply.result, 5)
+
+    def test_a_release_frees_the_key_for_its_owner_only(self):
+        self.want(self.writer, 'k', 'a').result(5)
+        self.writer.send(ReleaseClaim(0, 'k', 'b'))
+        self.assertIs(ClaimState.TAKEN, self.want(self.writer, 'k', 'b').result(5))
+        self.writer.send(ReleaseClaim(0, 'k', 'a'))
+        self.assertIs(ClaimState.OWNED, self.want(self.writer, 'k', 'c').result(5))
+
+    def test_writes_stay_within_their_rate(self):
+        stop = threading.Event()
+        began = Environment().monotonic()
+        number = 0
+        while Environment().monotonic() - began < 1.5:
+            self.want(self.writer, f'k{number}', 'a', bucket=number % 16)
+            number += 1
+            stop.wait(0.002)
+        written = self.server.counts['write.claims']
+        elapsed = Environment().monotonic() - began
+        # Each bucket may be written once at the start.
+        self.assertLessEqual(written, WRITES_PER_SECOND * elapsed + 17)
+        self.assertEqual(16, len(self.platform.list(ObjectKind.CLAIMS).objects))
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,190 @@
+"""Views of boxes and engines, events, digests and the byte budget."""
+
+import random
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from seamhold_membership import (
+    BoxView,
+    ByteBudget,
+    Digest,
+    DigestReceiver,
+    DigestSender,
+    EngineView,
+    Event,
+    EventKind,
+    EventLog,
+)
+from seamhold_membership.neighbours import neighbours
+from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_messages.work import Usage, Work
+from seamhold_peers import NameTable, decode_digest, encode_digest
+
+
+def engine(name='e', incarnation='1', phase=Phase.LIVE):
+    return Engine(name, 's', 'a', 'd', incarnation, phase=phase)
+
+
+class TestEngineView(testtools.TestCase):
+    def test_one_failed_call_is_suspicion_not_death(self):
+        view = EngineView(suspect_seconds=2)
+        view.set_list([engine('a'), engine('b')], 0.0)
+        view.failed('a', 0.0)
+        self.assertEqual({'b'}, set(view.serving('s', 1.0).engines))
+        self.assertEqual({'a', 'b'}, set(view.serving('s', 2.1).engines))
+
+    def test_if_all_are_suspect_they_serve(self):
+        view = EngineView()
+        view.set_list([engine('a')], 0.0)
+        view.failed('a', 0.0)
+        self.assertEqual({'a'}, set(view.serving('s', 0.1).engines))
+
+    def test_failures_in_a_row_keep_it_away_longer(self):
+        view = EngineView(suspect_seconds=1)
+        view.set_list([engine('a'), engine('b')], 0.0)
+        for _ in range(3):
+            view.failed('a', 0.0)
+        self.assertEqual(Phase.SUSPECT, view.phase('a', 3.9))
+        self.assertEqual(Phase.LIVE, view.phase('a', 4.1))
+
+    def test_leaving_is_sticky_until_a_new_start(self):
+        view = EngineView()
+        view.set_list([engine('a'), engine('b')], 0.0)
+        view.leaving('a', '1')
+        view.set_list([engine('a'), engine('b')], 1.0)
+        self.assertEqual({'b'}, set(view.serving('s', 1.0).engines))
+        view.set_list([engine('a', '2'), engine('b')], 2.0)
+        self.assertEqual({'a', 'b'}, set(view.serving('s', 2.0).engines))
+
+    def test_a_new_engine_rises(self):
+        view = EngineView(rising_seconds=9)
+        view.set_list([engine('a')], 0.0)
+        view.set_list([engine('a'), engine('b')], 10.0)
+        weights = [view.serving('s', now).weights['b'] for now in (10.0, 14.0, 17.0, 19.5)]
+        self.assertEqual([0.25, 0.5, 0.75, 1.0], weights)
+        self.assertEqual(1.0, view.serving('s', 10.0).weights['a'])
+
+    def test_reports_of_several_boxes_count(self):
+        view = EngineView()
+        view.set_list([engine('a'), engine('b')], 0.0)
+        for box in ('box-1', 'box-2'):
+            view.reported_failing('a', '1', box, 0.0)
+        self.assertEqual(Phase.LIVE, view.phase('a', 0.1))
+        view.reported_failing('a', '1', 'box-3', 0.0)
+        self.assertEqual({'b'}, set(view.serving('s', 0.1).engines))
+        self.assertEqual({'a', 'b'}, set(view.serving('s', 6.0).engines))
+
+
+class TestBoxView(testtools.TestCase):
+    def test_silence_is_suspicion(self):
+        view = BoxView('me', silent_seconds=3)
+        view.set_list([Box('me', 'x'), Box('other', 'y')], 0.0)
+        view.heard('other', '1', 1.0)
+        self.assertEqual(['me', 'other'], view.live(3.9))
+        self.assertEqual(['me'], view.live(4.1))
+        self.assertEqual(['other'], view.silent(4.1))
+
+    def test_a_restart_is_noticed_and_ends_leaving(self):
+        view = BoxView('me')
+        view.set_list([Box('other', 'y')], 0.0)
+        self.assertFalse(view.heard('other', '1', 1.0))
+        view.leaving('other', '1')
+        self.assertEqual(Phase.LEAVING, view.phase('other', 1.0))
+        self.assertTrue(view.heard('other', '2', 2.0))
+        self.assertEqual(Phase.LIVE, view.phase('other', 2.0))
+
+    def test_a_far_box_is_gone_when_several_say_so(self):
+        names = [f'box-{number}' for number in range(200)]
+        view = BoxView('box-0')
+        view.set_list([Box(name, name) for name in names], 0.0)
+        near = {box.name for box in view.neighbours()}
+        far = next(name for name in names[1:] if name not in near)
+        self.assertEqual(Phase.LIVE, view.phase(far, 100.0))
+        for reporter in ('box-7', 'box-8', 'box-9'):
+            view.reported_gone(far, reporter, 100.0)
+        self.assertEqual(Phase.SUSPECT, view.phase(far, 101.0))
+        self.assertEqual(Phase.LIVE, view.phase(far, 140.0))
+
+
+class TestNeighbours(testtools.TestCase):
+    def test_a_small_fleet_is_all_neighbours(self):
+        names = [f'box-{number}' for number in range(20)]
+        self.assertEqual(19, len(neighbours('box-3', names)))
+
+    def test_a_large_fleet_is_connected_and_both_ends_agree(self):
+        names = [f'box-{number}' for number in range(1200)]
+        near = {name: set(neighbours(name, names)) for name in names}
+        for name in random.Random(1).sample(names, 50):
+            self.assertTrue(all(name in near[other] for other in near[name]))
+        reached, edge = {names[0]}, {names[0]}
+        steps = 0
+        while edge:
+            edge = {other for name in edge for other in near[name]} - reached
+            reached |= edge
+            steps += bool(edge)
+        self.assertEqual(len(names), len(reached))
+        self.assertLessEqual(steps, 5)
+        self.assertLess(max(map(len, near.values())), 40)
+
+
+class TestEventLog(testtools.TestCase):
+    def test_an_event_is_new_once_and_relayed_some_times(self):
+        log = EventLog()
+        event = Event(EventKind.ENGINE_LEAVING, 'e', '1', 'box')
+        self.assertTrue(log.add(event, 8))
+        self.assertFalse(log.add(event, 8))
+        relays = 0
+        while found := log.pending(4):
+            log.relayed(found)
+            relays += 1
+        self.assertGreaterEqual(relays, 7)
+        self.assertFalse(log.add(event, 8))
+
+    def test_the_gravest_go_first(self):
+        log = EventLog()
+        log.add(Event(EventKind.BOX_GONE, 'b', '1'), 8)
+        log.add(Event(EventKind.ENGINE_LEAVING, 'e', '1'), 8)
+        self.assertEqual('e', log.pending(1)[0].subject)
+
+
+class TestByteBudget(testtools.TestCase):
+    @given(st.lists(st.tuples(st.integers(1, 3000), st.floats(0, 0.5))))
+    def test_it_is_never_passed(self, sends):
+        budget = ByteBudget(2048, 0.0)
+        now = 0.0
+        for size, gap in sends:
+            now += gap
+            budget.take(size, now)
+            self.assertLessEqual(budget.spent, 2048 * (now + 1.0) + 1e-6)
+
+
+LOADS = st.dictionaries(
+    st.sampled_from([f'e{number}' for number in range(6)]),
+    st.builds(Work, st.integers(1, 99), st.integers(0, 10**6)),
+)
+USAGE = st.dictionaries(
+    st.sampled_from(['w1', 'w2']),
+    st.builds(Usage, st.builds(Work, st.integers(1, 9)), st.integers(0, 50).map(float)),
+)
+
+
+class TestDigests(testtools.TestCase):
+    @given(st.lists(st.tuples(LOADS, USAGE, st.booleans(), st.booleans())))
+    def test_what_is_heard_is_what_was_told(self, steps):
+        names = NameTable()
+        names.add([f'e{number}' for number in range(6)] + ['w1', 'w2'])
+        sender, receiver = DigestSender(), DigestReceiver()
+        for loads, usage, sent, broken in steps:
+            truth = Digest('box', '1', loads=loads, usage=usage, settings_total=7)
+            message = sender.next_for('peer', truth)
+            if broken:
+                sender.forget('peer')
+                continue
+            if not sent:
+                continue
+            part = encode_digest(message, True)
+            heard = receiver.hear(decode_digest(part, 'box', '1', names))
+            sender.sent('peer')
+            self.assertEqual((loads, usage, 7), (heard.loads, heard.usage, heard.settings_total))
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,183 @@
+"""The tree: schema, inheritance, versions, and how operators change it."""
+
+import io
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from seamhold.context import Environment
+from seamhold.core import run
+from seamhold.editing import SettingsEditor
+from seamhold.status import ExitStatus
+from seamhold_messages.errors import SettingsConflict, SettingsInvalid
+from seamhold_platform import ObjectKind, PlatformClient, PlatformObject
+from seamhold_settings import Candidate, InForce, Step, load_tree, resolve
+from standins.platform import Platform
+
+TREE = """
+fleet:
+  policy: {deadline: 30}
+  services:
+    chat: {kind: model, models: [m], policy: {retries: 1}}
+    pay: {kind: plain}
+workspaces:
+  kitchen:
+    policy: {deadline: 20}
+    services:
+      chat:
+        policy: {priority: 0}
+        routes:
+          assess: {policy: {repeatable: false}}
+          assess/draft: {policy: {repeatable: true, deadline: 5}}
+      pay: {}
+"""
+
+
+class TestTree(testtools.TestCase):
+    def test_each_level_inherits_and_may_override(self):
+        tree = load_tree(TREE)
+        plain = resolve(tree, 'kitchen', 'chat').policy
+        self.assertEqual(
+            (20, 1, 0, True), (plain.deadline, plain.retries, plain.priority, plain.repeatable)
+        )
+        self.assertFalse(resolve(tree, 'kitchen', 'chat', 'assess').policy.repeatable)
+        draft = resolve(tree, 'kitchen', 'chat', 'assess/draft/7')
+        self.assertEqual(('assess/draft', 5), (draft.route, draft.policy.deadline))
+        self.assertIsNone(resolve(tree, 'kitchen', 'other'))
+        self.assertIsNone(resolve(tree, 'garden', 'chat'))
+
+    def test_what_is_wrong_is_named_by_path(self):
+        cases = {
+            'fleet: {polcy: {}}': 'fleet.polcy',
+            'fleet: {policy: {deadline: -1}}': 'fleet.policy.deadline',
+            'fleet: {policy: {deadline: soon}}': 'fleet.policy.deadline',
+            'workspaces: {w: {services: {nope: {}}}}': 'workspaces.w.services.nope',
+            'workspaces: {w: {keys: [plain]}}': 'workspaces.w.keys.0',
+            'fleet: {services: {s: {kind: model}}}': 'fleet.services.s',
+            'fleet: {placement: {load_multiple: 1.2, admit_multiple: 1.3}}': 'fleet.placement',
+            'fleet: [': 'not YAML',
+            '- a': '(top)',
+        }
+        for text, path in cases.items():
+            error = self.assertRaises(SettingsInvalid, load_tree, text)
+            self.assertIn(path, error.detail)
+
+    def test_a_key_names_one_workspace(self):
+        key = 'sha256:' + '0' * 64
+        text = f'workspaces: {{a: {{keys: ["{key}"]}}, b: {{keys: ["{key}"]}}}}'
+        self.assertRaises(SettingsInvalid, load_tree, text)
+
+
+def versions(count):
+    edits = [f'e{number}' for number in range(1, count + 1)]
+    return [
+        Candidate('fleet', number, f'e{number}', {}, False, tuple(edits[: number - 1]))
+        for number in range(1, count + 1)
+    ]
+
+
+class TestInForce(testtools.TestCase):
+    @given(st.permutations(versions(6)), st.permutations(versions(6)))
+    def test_any_order_of_news_ends_alike_and_never_goes_back(self, first, second):
+        ends = []
+        for order in (first, second):
+            state = InForce()
+            last = 0
+            for candidate in order:
+                state.offer(candidate)
+                self.assertGreaterEqual(state.known()['fleet'], last)
+                last = state.known()['fleet']
+            ends.append(state.fingerprint())
+        self.assertEqual(ends[0], ends[1])
+
+    def test_an_invalid_version_leaves_the_last_good_one(self):
+        state = InForce()
+        state.offer(Candidate('fleet', 1, 'a', {'policy': {'deadline': 9}}))
+        self.assertIs(Step.INVALID, state.offer(Candidate('fleet', 2, 'b', {'nope': 1})))
+        self.assertEqual(9, state.tree.fleet.policy.deadline)
+        self.assertIn('nope', state.rejected['fleet'])
+        self.assertIs(Step.TAKEN, state.offer(Candidate('fleet', 3, 'c', {})))
+        self.assertEqual({}, state.rejected)
+
+    def test_an_edit_beside_what_is_in_force_is_a_branch(self):
+        state = InForce()
+        state.offer(Candidate('fleet', 3, 'c', {}, False, ('a', 'b')))
+        self.assertIs(Step.OLDER, state.offer(Candidate('fleet', 2, 'b', {}, False, ('a',))))
+        self.assertIs(Step.BRANCH, state.offer(Candidate('fleet', 2, 'x', {}, False, ('a',))))
+
+
+class TestEditing(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.server = Platform().start()
+        self.addCleanup(self.server.stop)
+        self.url = f'http://127.0.0.1:{self.server.port}'
+        self.platform = PlatformClient(self.url)
+        self.editor = SettingsEditor(self.platform, Environment(), 'cook')
+        self.editor.apply(load_tree(TREE))
+
+    def run_command(self, *arguments):
+        environment = Environment(stdout=io.StringIO(), stderr=io.StringIO())
+        status = run(environment, ['settings', *arguments, '--platform', self.url])
+        return status, environment.stdout.getvalue(), environment.stderr.getvalue()
+
+    def test_applying_again_writes_nothing(self):
+        applied = self.editor.apply(load_tree(TREE))
+        self.assertFalse(any(item.changed for item in applied))
+
+    def test_set_get_and_history(self):
+        status, _, _ = self.run_command('set', 'workspaces.kitchen.weight', '3')
+        self.assertEqual(ExitStatus.SUCCESS, status)
+        self.assertEqual('3.0', self.run_command('get', 'workspaces.kitchen.weight')[1].strip())
+        self.assertEqual(2, len(self.run_command('history', 'workspace.kitchen')[1].splitlines()))
+
+    def test_a_wrong_value_is_refused_before_it_is_written(self):
+        cases = (
+            ('fleet.policy.deadline', 'never'),
+            ('fleet.nope', '1'),
+            ('workspaces.kitchen.services.nope', '{}'),
+            ('kitchen', '1'),
+        )
+        for path, value in cases:
+            status, _, error = self.run_command('set', path, value)
+            self.assertEqual(ExitStatus.INVALID, status, path)
+            self.assertIn('settings_invalid', error)
+        self.assertEqual(1, self.editor.read()['fleet'].envelope.revision)
+
+    def test_a_conflict_shows_what_differs(self):
+        class Late(SettingsEditor):
+            def read(self):
+                stored = super().read()
+                other.set('fleet.policy.deadline', 44)
+                return stored
+
+        other = self.editor
+        late = Late(self.platform, Environment(), 'officer')
+        error = self.assertRaises(SettingsConflict, late.set, 'fleet.policy.deadline', 55)
+        self.assertIn('cook changed it first', error.detail)
+        self.assertIn('44', error.detail)
+
+    def test_pruned_objects_stay_deleted(self):
+        tree = load_tree(TREE.partition('workspaces:')[0])
+        self.editor.apply(tree, prune=True)
+        self.assertEqual({}, self.editor.read_tree().workspaces)
+        state = InForce()
+        for held in self.editor.read().values():
+            state.offer(held.envelope.candidate())
+        self.assertEqual({}, state.tree.workspaces)
+
+    def test_commands_leave_with_the_kind_of_their_end(self):
+        self.assertEqual(ExitStatus.INVALID, self.run_command('check', 'no-such-file')[0])
+        self.assertEqual(ExitStatus.INVALID, self.run_command('get', 'fleet.nope')[0])
+        self.server.set_faults({'down': True})
+        self.assertEqual(ExitStatus.UNAVAILABLE, self.run_command('get')[0])
+        environment = Environment(stdout=io.StringIO(), stderr=io.StringIO(), variables={})
+        self.assertEqual(ExitStatus.USAGE, run(environment, ['settings', 'get']))
+        self.assertIn('--platform', environment.stderr.getvalue())
+
+    def test_an_object_that_is_no_settings_object(self):
+        self.platform.put(ObjectKind.SETTINGS, PlatformObject('workspace.x', {'nope': 1}))
+        status, _, error = self.run_command('get')
+        self.assertEqual(ExitStatus.INVALID, status)
+        self.assertIn('workspace.x', error)
