Scenarios: a refused connection is not a call in flight; ports are given once

Cause: with six callers, seven calls failed when a box was killed under load; the seventh was sent to the dead box before the balancer of the scenario saw it, and took no connection. The check counted it as in flight. And two boxes could be given the same port, as a port was only probed when it was chosen.

Ruled out: a call that was lost elsewhere (its error is a refused connection and no engine's ledger has it).

Change: calls in flight on the killed box are still at most the callers; those that took no connection are looked up in the ledgers and must not have run, which the check did not ask before. Ports are given once a process.

--- a/scenarios/load.py
+++ b/scenarios/load.py
@@ -16,6 +16,7 @@
 
     def __init__(self, world: World, callers: int, **options):
         self._world = world
+        self.callers = callers
         self._options = options
         self._stopped = threading.Event()
         self._ready: list[str] = []
--- a/scenarios/steps/leaving_steps.py
+++ b/scenarios/steps/leaving_steps.py
@@ -129,9 +129,16 @@
 
 @then('only calls that were in flight on a killed box failed')
 def only_in_flight(context):
-    wrong = [sent for sent in failures(context) if not sent.broken]
+    # The balancer may send a few more calls to the box before it sees that
+    # nobody listens there; those take no connection and run nowhere.
+    refused = [sent for sent in failures(context) if 'NewConnectionError' in sent.broken]
+    in_flight = [sent for sent in failures(context) if sent not in refused]
+    wrong = [sent for sent in in_flight if not sent.broken]
     assert not wrong, '\n'.join(map(describe, wrong[:5]))
-    assert len(failures(context)) <= 6, len(failures(context))
+    assert len(in_flight) <= context.world.load.callers, len(in_flight)
+    counts = runs(context)
+    ran = [sent.mark for sent in refused if counts[sent.mark]]
+    assert not ran, ran
 
 
 @then('what the callers were told of calls that did not run is true')
--- a/standins/standins/fleet.py
+++ b/standins/standins/fleet.py
@@ -26,6 +26,7 @@
 PORTS = (15_000, 32_000)
 
 _chance = random.Random()
+_given: set[int] = set()
 
 
 class FleetError(Exception):
@@ -36,16 +37,19 @@
     """A port that nobody listens on now.
 
     It lies below the range that outgoing connections use, so that none of
-    them takes it before its process listens.
+    them takes it before its process listens, and is given only once.
     """
     while True:
         port = _chance.randrange(*PORTS)
+        if port in _given:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
-            return port
+        _given.add(port)
+        return port
 
 
 def wait_until(condition, seconds: float = START_SECONDS, what: str = 'condition') -> None:
