A box that came with others stops watching the settings after two seconds

Cause: five boxes started at once all watched the settings for twenty seconds: each knew only itself when its first watch began, and whether a box has to watch is asked between watches only.

Ruled out: the rendezvous of watchers (after twenty seconds three were left).

Change: the first watch lasts two seconds. The scenario waits until at most three watch, and then looks for two more seconds that it stays so.

Before: 5 watchers of settings at 5 boxes, the scenario failed. After: at most 3, it passes.

--- a/packages/platform/seamhold_platform/client.py
+++ b/packages/platform/seamhold_platform/client.py
@@ -100,16 +100,18 @@
         answer = self._call('put', method, path, item.to_wire())
         return PlatformObject.from_wire(self._json('put', answer))
 
-    def watch(self, kind: ObjectKind, version: str) -> Iterator[WatchEvent]:
+    def watch(
+        self, kind: ObjectKind, version: str, seconds: float = WATCH_SECONDS
+    ) -> Iterator[WatchEvent]:
         """Changes after `version`, until the platform ends the watch.
 
-        Raises PlatformGone when the version is too old: list again.
+        It does so after `seconds`.  Raises PlatformGone when the version is too old: list again.
         """
-        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=WATCH_SECONDS + WATCH_SLACK_SECONDS)
+        timeout = urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds + WATCH_SLACK_SECONDS)
         fields = {
             'watch': '1',
             'resourceVersion': version,
-            'timeoutSeconds': str(int(WATCH_SECONDS)),
+            'timeoutSeconds': str(int(seconds)),
         }
         answer = self._call(
             'watch',
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -18,6 +18,7 @@
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_placement.rank import owners
 from seamhold_platform import ObjectKind, PlatformClient, PlatformObject, WatchKind
+from seamhold_platform.client import WATCH_SECONDS
 from seamhold_settings import Step
 from seamhold_settings.envelope import Envelope
 
@@ -32,6 +33,7 @@
 WATCHERS_KEY = 'settings-watchers'
 NOT_WATCHING_SECONDS = 1.0
 OFFER_SECONDS = 5.0
+FIRST_WATCH_SECONDS = 2.0
 #: Calls at once for an engine whose listing does not say.
 DEFAULT_SLOTS = 64
 
@@ -121,11 +123,15 @@
         page = self.platform.list(self.kind)
         self.listed(page.objects)
         version = page.version
+        # The first watch is short: a box that just came does not know the
+        # others yet, and may not be one that has to watch.
+        seconds = FIRST_WATCH_SECONDS
         while not self._stopped.is_set() and self.wanted():
-            for event in self.platform.watch(self.kind, version):
+            for event in self.platform.watch(self.kind, version, seconds):
                 version = event.object.version or version
                 if event.kind is not WatchKind.BOOKMARK:
                     self.changed(event.kind, event.object)
+            seconds = WATCH_SECONDS
 
 
 class ListFollower(Follower):
--- a/scenarios/steps/settings_steps.py
+++ b/scenarios/steps/settings_steps.py
@@ -47,11 +47,16 @@
 @then('at most {count:d} boxes watch the settings')
 def few_watch(context, count):
     fleet = context.world.fleet
-    time.sleep(1.5)
-    # Every watcher lists or watches again within its twenty seconds, so
-    # those that wait now are what the platform holds open.
-    waiting = fleet.http.request('GET', f'{fleet.platform.url}/standin/waiting').json()
-    assert 1 <= waiting['settings'] <= count, waiting
+
+    def waiting():
+        url = f'{fleet.platform.url}/standin/waiting'
+        return fleet.http.request('GET', url).json()['settings']
+
+    # A box that just came watches for two seconds until it knows the others.
+    wait_until(lambda: 1 <= waiting() <= count, 6, f'at most {count} watchers')
+    for _ in range(20):
+        assert waiting() <= count, waiting()
+        time.sleep(0.1)
 
 
 @when('two operators set "{path}" at once to "{first}" and "{second}"')
