--- a/models/claims.py
+++ b/models/claims.py
@@ -3,7 +3,9 @@
 A write in flight may land at any later time.  The bucket is the packages'
 own.  A box's stages: `start`, `read` (holds a version), `sent` (its write is
 out), `lost` (its answer will not come), `owner`, `refused`, `gave-up` (its
-caller is told that nothing ran), `ran`, `down`.
+caller is told that nothing ran), `ran`, `down`.  An owner
+whose engines all refused tells its caller so and gives the key back, by a
+conditional write that may land late or never; it does not dispatch again.
 """
 
 from typing import NamedTuple
@@ -14,11 +16,10 @@
 
 BOXES = (0, 1)
 KEY = 'key'
-VERSIONS_MAX = 4
 
 
 class Flight(NamedTuple):
-    """A conditional write on its way."""
+    """A conditional write on its way; no owner gives the key back."""
 
     base: int
     owner: str
@@ -69,15 +70,38 @@
     holds = flight.base == state.version or variant == 'writes without a condition'
     waiting = state.stages[number] == 'sent'
     if holds:
-        state = state._replace(version=min(VERSIONS_MAX, state.version + 1), owner=flight.owner)
+        state = state._replace(version=state.version + 1, owner=flight.owner)
     if not waiting:
         return state
     return state._replace(stages=put(state.stages, number, 'owner' if holds else 'start'))
 
 
+def releases(state: State, number: int, variant: str) -> Steps:
+    """The engines refuse an owner's call; it gives the key back, or not."""
+    stage = state.stages[number]
+    if stage == 'owner':
+        stages = put(state.stages, number, 'refusing')
+        yield f'engines refuse box {number}', state._replace(stages=stages)
+    if stage == 'refusing' and state.flights[number] is None:
+        back = Flight(state.version, '') if state.owner == f'box-{number}' else None
+        after = 'owner' if variant == 'dispatches after giving back' else 'gave-up'
+        yield (
+            f'box {number} gives back',
+            state._replace(
+                stages=put(state.stages, number, after),
+                flights=put(state.flights, number, back),
+            ),
+        )
+        yield (
+            f'box {number} keeps the key',
+            state._replace(stages=put(state.stages, number, 'gave-up')),
+        )
+
+
 def transitions(state: State, variant: str) -> Steps:
     """Every step that may come next."""
     for number in BOXES:
+        yield from releases(state, number, variant)
         stage = state.stages[number]
         if stage in ('start', 'lost'):
             yield f'box {number} reads', read(state, number)
@@ -126,5 +150,6 @@
     {
         'writes without a condition': 'at most one run',
         'a lost answer counts as owned': 'at most one run',
+        'dispatches after giving back': 'at most one run',
     },
 )
--- a/models/leaving.py
+++ b/models/leaving.py
@@ -51,7 +51,7 @@
             view = EngineView()
         engine = Engine(ENGINE, SERVICE, '', '', listing.incarnation, phase=listing.phase)
         view.set_list([engine], 0.0)
-    return bool(view.serving(SERVICE, 0.0))
+    return bool(view.serving(SERVICE, 0.0).engines)
 
 
 def transitions(state: State, variant: str) -> Steps:
--- a/packages/limits/seamhold_limits/grants.py
+++ b/packages/limits/seamhold_limits/grants.py
@@ -36,9 +36,7 @@
         if len(self.messages) > MESSAGES_MAX:
             heard, *later = self.messages
             names = {name for held in later for name in held.demands}
-            lowest = {
-                name: min(held.demands.get(name, 0.0) for held in later) for name in names
-            }
+            lowest = {name: min(held.demands.get(name, 0.0) for held in later) for name in names}
             self.messages = deque([heard, _Message(message.seq, lowest)])
 
     def lowest(self, workspace: str) -> float:
--- a/packages/membership/seamhold_membership/gossip.py
+++ b/packages/membership/seamhold_membership/gossip.py
@@ -41,12 +41,15 @@
     def __init__(self):
         self._seen: OrderedDict[Event, None] = OrderedDict()
         self._relays: dict[Event, int] = {}
+        #: How many events were new here, for whoever wants to tell at once.
+        self.taken = 0
 
     def add(self, event: Event, boxes: int) -> bool:
         """Take note of `event`; False if it was known."""
         if event in self._seen:
             return False
         self._seen[event] = None
+        self.taken += 1
         while len(self._seen) > self.SEEN_MAX:
             self._seen.popitem(last=False)
         self._relays[event] = self.RELAY_FACTOR * (1 + math.ceil(math.log2(max(2, boxes))))
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -164,6 +164,9 @@
         self._replies: dict[str, Future] = {}
         self._next_tick = 0.0
         self._me: list[Box] = []
+        self._events_taken = 0
+        #: Set when there is an exception that peers should hear at once.
+        self.urgent = threading.Event()
         self.engines_listed = threading.Event()
         self.boxes_listed = threading.Event()
         self.handlers = {
@@ -195,6 +198,7 @@
 
     def _deliver(self, decisions: list[Decision]) -> None:
         now = self._clock()
+        self._note_events()
         for decision in decisions:
             if isinstance(decision, Queued):
                 continue
@@ -204,6 +208,12 @@
         if now >= self._next_tick:
             self.idle()
 
+    def _note_events(self) -> None:
+        taken = self._router.events.taken
+        if taken != self._events_taken:
+            self._events_taken = taken
+            self.urgent.set()
+
     def _admit(self, message: Admit) -> Admit:
         # Answered by _deliver, now or when the call has waited.
         self._replies[message.call.id] = message.reply
@@ -227,6 +237,7 @@
 
     def _engine_leaving(self, message: EngineLeaving) -> None:
         self._router.engine_leaving(message.engine, self._clock())
+        self._note_events()
 
     def _use_settings(self, message: UseSettings) -> None:
         self._router.use_settings(message.tree)
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -39,6 +39,8 @@
 from .metrics import Metrics
 
 ROSTER_SECONDS = 0.5
+#: How soon an exception or new settings are told.
+URGENT_SECONDS = 0.05
 STOP_SECONDS = 5.0
 
 
@@ -71,6 +73,7 @@
         self._others: dict[str, PeerClient] = {}
         self._port: DigestPort | None = None
         self._pulling: set[str] = set()
+        self._told_total = 0
         self._pulls: set[asyncio.Task] = set()
         self.loop = asyncio.new_event_loop()
         self._handler: PeerHandler | None = None
@@ -128,7 +131,7 @@
         await self._port.listen(address.host, address.port)
         self._background = [
             self.loop.create_task(self._forever(self._keep_roster, self._roster_pause)),
-            self.loop.create_task(self._forever(self._tell_all, self._tell_pause)),
+            self.loop.create_task(self._forever(self._tell_all, self._until_next_round)),
         ]
 
     async def _forever(self, step, pause) -> None:
@@ -138,14 +141,27 @@
             except Exception:
                 # One failed round must not end the telling.
                 self._log.exception('peering.error')
-            await asyncio.sleep(pause())
+            await pause()
 
-    def _roster_pause(self) -> float:
-        return ROSTER_SECONDS
+    async def _roster_pause(self) -> None:
+        await asyncio.sleep(ROSTER_SECONDS)
 
-    def _tell_pause(self) -> float:
+    async def _until_next_round(self) -> None:
+        """Wait for the next round of telling; an exception cuts it short."""
         pause = self._keeper.snapshot.tree.fleet.control.digest_seconds
-        return pause * self._chance.uniform(0.9, 1.1)
+        ends = self.loop.time() + pause * self._chance.uniform(0.9, 1.1)
+        while (left := ends - self.loop.time()) > 0 and not self._urgent():
+            await asyncio.sleep(min(left, URGENT_SECONDS))
+
+    def _urgent(self) -> bool:
+        """Whether something new must be told now; asking forgets it."""
+        total = self._keeper.snapshot.total
+        changed = total != self._told_total
+        self._told_total = total
+        if self._decider.urgent.is_set():
+            self._decider.urgent.clear()
+            return True
+        return changed
 
     def stop(self) -> None:
         """Tell nobody any more and stop listening."""
