A box that has settings from a peer can mend the platform; smaller modules

Cause: reading the follower as a newcomer: only a watcher that had itself read a version from the platform could write it back after a reset, so a reset together with the loss of the watchers would not have been mended. And a receiver of digests that had lost its state got a full one only after the sender's history ran out, about 10 s later.

Ruled out: keeping the edits' times and authors in the messages between boxes (they matter to people only; a mended object says "unknown").

Change: the version to write back comes from the settings in force. A peer that answers with 0 is told everything. A watch that is refused as too old is not asked for again at once. The view of boxes and the view of engines, and the decider's messages, are modules of their own. A measure of the calls that a fleet at rest makes to the platform.

Conclusion: both were found by reading, and have a test.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -3,7 +3,7 @@
 import sys
 import time
 
-from . import growth, path, placing, slopes
+from . import growth, path, placing, platform_calls, slopes
 
 MEASUREMENTS = {
     'placing': placing.compare_ways,
@@ -11,6 +11,7 @@
     'growth': growth.measure,
     'slopes': slopes.measure,
     'path': path.measure,
+    'platform': platform_calls.measure,
 }
 
 
--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -1,9 +1,10 @@
 """Views of boxes and engines, and control messages within a byte budget."""
 
+from .box_view import BoxView
 from .budget import ByteBudget
 from .digest import Digest, DigestReceiver, DigestSender
+from .engine_view import EngineView, Serving
 from .gossip import Event, EventKind, EventLog
-from .view import BoxView, EngineView, Serving
 
 __all__ = [
     'BoxView',
--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -93,6 +93,9 @@
     def heard(self, peer: str, seq: int) -> None:
         """The peer said that it heard message `seq`."""
         told = self._peers.get(peer)
+        if told is not None and seq == 0:
+            # It lost what it had heard: the next digest is a full one.
+            told.heard = 0
         if told is None or seq <= told.heard or seq > told.seq:
             return
         told.heard = seq
@@ -128,9 +131,12 @@
         elif last is not None and digest.seq <= last.seq:
             return None
         whole = digest if digest.full else self._on_base(digest, states.get(digest.base))
-        if whole is not None:
-            states[digest.seq] = whole
-            _trim(states)
+        if whole is None:
+            # Saying that nothing was heard brings a full digest.
+            self.forget(digest.box)
+            return None
+        states[digest.seq] = whole
+        _trim(states)
         return whole
 
     @staticmethod
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -7,151 +7,37 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future
-from dataclasses import dataclass
 
-from seamhold_attempts.retry import Outcome
 from seamhold_membership import Digest
-from seamhold_messages.fleet import Box, Engine, Phase
-from seamhold_messages.work import Call, Decision, Queued
+from seamhold_messages.fleet import Box
+from seamhold_messages.work import Decision, Queued
 from seamhold_peers import FleetLists
 from seamhold_routing import Router
-from seamhold_settings import Tree
 
-from .tasks import Ask, Task
+from .decisions import (
+    Admit,
+    Again,
+    Attempted,
+    BoxReport,
+    Closed,
+    DeciderReport,
+    DigestSent,
+    EngineLeaving,
+    EngineReport,
+    Hear,
+    Leaving,
+    SetBoxes,
+    SetEngines,
+    UseSettings,
+    WantDigest,
+    WantLists,
+    WantReport,
+)
+from .tasks import Task
 
 TICK_SECONDS = 0.05
 
 
-@dataclass(slots=True)
-class Admit(Ask):
-    """A new call asks for a place; answered by Placed or Refused."""
-
-    call: Call
-
-
-@dataclass(slots=True)
-class Again(Ask):
-    """A call whose attempt failed asks for another engine."""
-
-    call_id: str
-    failed_engine: str
-    outcome: Outcome
-
-
-@dataclass(slots=True)
-class Attempted:
-    """An attempt ended."""
-
-    call_id: str
-    outcome: Outcome
-
-
-@dataclass(slots=True)
-class Closed:
-    """A call is over."""
-
-    call_id: str
-
-
-@dataclass(slots=True)
-class EngineLeaving:
-    """An engine told one of this box's calls that it is leaving."""
-
-    engine: str
-
-
-@dataclass(slots=True)
-class UseSettings:
-    """A tree came into force."""
-
-    tree: Tree
-
-
-@dataclass(slots=True)
-class SetEngines:
-    """The platform's list of engines."""
-
-    engines: list[Engine]
-
-
-@dataclass(slots=True)
-class SetBoxes:
-    """The platform's list of boxes."""
-
-    boxes: list[Box]
-
-
-@dataclass(slots=True)
-class WantLists(Ask):
-    """Asks for the platform's lists as last seen, as FleetLists."""
-
-
-@dataclass(slots=True)
-class Hear:
-    """A peer told its state."""
-
-    digest: Digest
-
-
-@dataclass(slots=True)
-class WantDigest(Ask):
-    """The next digest for a peer, with the settings in force here."""
-
-    peer: str
-    settings_total: int
-    settings_print: int
-
-
-@dataclass(slots=True)
-class DigestSent:
-    """A digest went out."""
-
-    digest: Digest
-
-
-@dataclass(slots=True)
-class Leaving:
-    """This box is stopping."""
-
-
-@dataclass(frozen=True, slots=True)
-class BoxReport:
-    """A peer as this box sees it."""
-
-    name: str
-    phase: Phase
-    incarnation: str
-    peer_address: str
-
-
-@dataclass(frozen=True, slots=True)
-class EngineReport:
-    """An engine as this box sees it."""
-
-    name: str
-    service: str
-    phase: Phase
-    requests: int
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class DeciderReport:
-    """What the decider shows on the status page and to other tasks."""
-
-    in_flight: int
-    live_boxes: tuple[str, ...]
-    boxes: tuple[BoxReport, ...]
-    neighbours: tuple[str, ...]
-    engines: tuple[EngineReport, ...]
-    counts: dict[str, int]
-
-
-@dataclass(slots=True)
-class WantReport(Ask):
-    """Asks for a DeciderReport."""
-
-
 class Decider(Task):
     """Owns the routing state of this box."""
 
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -22,7 +22,7 @@
 from seamhold_settings import Step
 from seamhold_settings.envelope import Envelope
 
-from .keeper import Offer, SettingsKeeper
+from .keeper import Offer, SettingsKeeper, WantNewer
 from .logs import logger
 from .metrics import Metrics
 
@@ -109,6 +109,7 @@
                 pause = RETRY_SECONDS
             except PlatformGone:
                 self.metrics.count(f'platform.{self.kind}.gone')
+                self._stopped.wait(RETRY_SECONDS * self._chance.uniform(0.2, 1.0))
             except SeamholdError as error:
                 self.metrics.count(f'platform.{self.kind}.{error.code}')
                 self.log.warning('platform.lost', code=error.code, detail=error.detail)
@@ -226,6 +227,15 @@
             elif step in (Step.OLDER, Step.BRANCH):
                 self._mend(envelope.name)
 
+    def _in_force(self, name: str) -> Envelope:
+        """The version in force, also when this box has it from a peer."""
+        others = self._keeper.ask(WantNewer({})).result(OFFER_SECONDS)
+        candidate = next(item for item in others if item.name == name)
+        seen = self._envelopes.get(name)
+        if seen is not None and seen.edits[-1].id == candidate.edit_id:
+            return seen
+        return Envelope.from_candidate(candidate)
+
     def _read(self, item: PlatformObject) -> Envelope | None:
         try:
             return Envelope.from_spec(item.name, item.spec)
@@ -238,8 +248,8 @@
         """Look again, and write what must be in force on top of it."""
         found = self.platform.get(self.kind, name)
         envelope = self._read(found)
-        held = self._envelopes.get(name)
-        if envelope is None or held is None or envelope.revision > held.revision:
+        held = self._in_force(name)
+        if envelope is None or envelope.revision > held.revision:
             return
         known = {edit.id for edit in held.edits}
         if envelope.edits[-1].id == held.edits[-1].id and envelope.revision == held.revision:
--- a/packages/router/seamhold/operators.py
+++ b/packages/router/seamhold/operators.py
@@ -11,7 +11,8 @@
 from . import __version__
 from .callers import BEARER, hash_key
 from .config import BoxConfig
-from .decider import Decider, WantReport
+from .decider import Decider
+from .decisions import WantReport
 from .entry import Gate
 from .keeper import SettingsKeeper, WantSettingsReport
 from .metrics import Metrics
--- a/packages/router/seamhold/peer_handler.py
+++ b/packages/router/seamhold/peer_handler.py
@@ -10,7 +10,8 @@
 from seamhold_settings import Candidate
 
 from .claims import ClaimWriter, WantClaim
-from .decider import Decider, WantLists
+from .decider import Decider
+from .decisions import WantLists
 from .keeper import SettingsKeeper, WantNewer
 from .logs import logger
 from .peering import Peering
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -23,8 +23,8 @@
 
 from .config import BoxConfig, split_address
 from .context import Environment
-from .decider import (
-    Decider,
+from .decider import Decider
+from .decisions import (
     DeciderReport,
     DigestSent,
     Hear,
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -18,7 +18,8 @@
 from seamhold_messages.work import Call, Placed, Refused
 
 from .context import Environment
-from .decider import Admit, Again, Attempted, Closed, Decider, EngineLeaving
+from .decider import Decider
+from .decisions import Admit, Again, Attempted, Closed, EngineLeaving
 from .engines import AttemptFailed, EngineAnswer, EngineClient, EngineRequest
 from .guards import Guard
 from .logs import logger
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -16,7 +16,8 @@
 from .claims import ClaimWriter
 from .config import BoxConfig
 from .context import Environment
-from .decider import Decider, SetBoxes, SetEngines, UseSettings
+from .decider import Decider
+from .decisions import SetBoxes, SetEngines, UseSettings
 from .desk import CallDesk
 from .engines import EngineClient
 from .entry import SPARE_THREADS, Entry, Gate, entry_application
--- a/packages/settings/seamhold_settings/envelope.py
+++ b/packages/settings/seamhold_settings/envelope.py
@@ -9,6 +9,7 @@
 #: Edits that an object remembers: enough to know an older copy when it
 #: comes back, and for an operator to read.
 EDITS_MAX = 50
+UNKNOWN_AUTHOR = 'unknown'
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,13 @@
             raise SettingsInvalid(f'{name}: no edit names this version')
         return cls(name, revision, edits, value, bool(spec.get('deleted')))
 
+    @classmethod
+    def from_candidate(cls, candidate: Candidate) -> 'Envelope':
+        """A version that came from a peer, which tells edits by id alone."""
+        ids = (*candidate.ancestors, candidate.edit_id)
+        edits = tuple(Edit(edit_id, 0.0, UNKNOWN_AUTHOR) for edit_id in ids)
+        return cls(candidate.name, candidate.revision, edits, candidate.spec, candidate.deleted)
+
     def to_spec(self) -> dict:
         """What the platform holds."""
         edits = [{'id': edit.id, 'at': edit.at, 'author': edit.author} for edit in self.edits]
--- a/scenarios/mutants.py
+++ b/scenarios/mutants.py
@@ -145,7 +145,7 @@
     ),
     Mutant(
         'an engine that leaves is not remembered',
-        'membership/seamhold_membership/view.py',
+        'membership/seamhold_membership/engine_view.py',
         'if self._leaving.get(name) == state.engine.incarnation:',
         'if state.engine.phase is Phase.LEAVING:',
         'A list that goes back does not bring a leaving engine back',
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from seamhold.metrics import Metrics
 from tests.utils.stack import HOST, KEY, Stack
 
 CHAT = '/v1/chat/completions'
@@ -130,6 +131,16 @@
         self.assertNotIn(KEY, logs)
         self.assertIn('request_id', logs)
 
+    def test_each_refusal_reason_reaches_statsd(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as listener:
+            listener.bind((HOST, 0))
+            listener.settimeout(5)
+            metrics = Metrics(f'{HOST}:{listener.getsockname()[1]}')
+            metrics.count('refused.fleet_full')
+            self.assertEqual(b'seamhold.refused.fleet_full:1|c', listener.recv(100))
+        self.stack.post(CHAT, b'{')
+        self.assertEqual(1, self.stack.box.metrics.counts()['refused.bad_json'])
+
     def test_more_calls_than_threads_are_refused_at_once(self):
         self.stack.box.gate.most = 0
         answer = self.stack.post(CHAT, self.stack.chat())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -214,6 +214,17 @@
         sender.forget('peer')
         self.assertTrue(sender.next_for('peer', truth, 0).full)
 
+    def test_a_peer_that_lost_its_state_gets_a_full_digest(self):
+        sender, receiver = DigestSender(), DigestReceiver()
+        truth = Digest('box', '1', loads={'a': Work(1, 10)})
+        receiver.hear(sender.next_for('peer', truth, 0))
+        sender.heard('peer', receiver.last('box'))
+        receiver.forget('box')
+        self.assertIsNone(receiver.hear(sender.next_for('peer', truth, 0)))
+        sender.heard('peer', receiver.last('box'))
+        heard = receiver.hear(sender.next_for('peer', truth, 0))
+        self.assertEqual(truth.loads, heard.loads)
+
     def test_a_new_start_is_not_taken_for_the_old_one(self):
         receiver = DigestReceiver()
         receiver.hear(Digest('box', '1', seq=9, loads={'a': Work(1, 10)}))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,7 @@
 """The tree: schema, inheritance, versions, and how operators change it."""
 
 import io
+import random
 
 import testtools
 from hypothesis import given
@@ -9,10 +10,14 @@
 from seamhold.context import Environment
 from seamhold.core import run
 from seamhold.editing import SettingsEditor
+from seamhold.follower import SettingsFollower
+from seamhold.keeper import Offer, SettingsKeeper
+from seamhold.metrics import Metrics
 from seamhold.status import ExitStatus
 from seamhold_messages.errors import SettingsConflict, SettingsInvalid
 from seamhold_platform import ObjectKind, PlatformClient, PlatformObject
 from seamhold_settings import Candidate, InForce, Step, load_tree, resolve
+from seamhold_settings.envelope import Edit
 from standins.platform import Platform
 
 TREE = """
@@ -107,6 +112,32 @@
         self.assertIs(Step.BRANCH, state.offer(Candidate('fleet', 2, 'x', {}, False, ('a',))))
 
 
+class TestMending(testtools.TestCase):
+    def test_a_box_that_has_it_from_a_peer_mends_the_platform(self):
+        server = Platform().start()
+        self.addCleanup(server.stop)
+        platform = PlatformClient(f'http://127.0.0.1:{server.port}')
+        editor = SettingsEditor(platform, Environment(), 'cook')
+        editor.apply(load_tree(TREE))
+        older = platform.get(ObjectKind.SETTINGS, 'fleet')
+        first = editor.read()['fleet'].envelope
+        edit = Edit('newer', 0.0, 'cook')
+        newer = first.followed_by(edit, first.value | {'policy': {'deadline': 12}})
+        keeper = SettingsKeeper(Metrics(), lambda tree: None)
+        keeper.start()
+        self.addCleanup(keeper.stop)
+        keeper.ask(Offer([newer.candidate()], 'box-2')).result(5)
+        follower = SettingsFollower(
+            platform, Metrics(), random.Random(1), keeper, 'box-1', lambda: ('box-1',)
+        )
+        follower.listed([older])
+        mended = editor.read()['fleet'].envelope
+        self.assertEqual(
+            (2, 'newer', 12),
+            (mended.revision, mended.edits[-1].id, mended.value['policy']['deadline']),
+        )
+
+
 class TestEditing(testtools.TestCase):
     def setUp(self):
         super().setUp()
