Tests of plain services: orders run once, callers only tighten, deadlines hold

Cause: at most once was proved on the chat path; plain services share the code but nothing had run it.

Before: not run.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -121,6 +121,42 @@
         )
         self.assertEqual('/stock?a=%20b', answer.json()['path'])
 
+    def test_an_order_at_a_plain_service_runs_once(self):
+        headers = {'Idempotency-Key': 'order-7'}
+        first = self.stack.post('/services/plain/orders/7', {'eggs': 6}, **headers)
+        again = self.stack.post('/services/plain/orders/7', {'eggs': 6}, **headers)
+        other = self.stack.post('/services/plain/orders/7', {'eggs': 12}, **headers)
+        self.assertEqual(200, first.status)
+        self.assertEqual('409 key_in_use unknown', self.refused(again))
+        self.assertEqual('422 key_mismatch unknown', self.refused(other))
+        self.assertEqual(1, len(self.stack.service.ledger))
+
+    def test_an_order_that_may_have_run_is_not_sent_again(self):
+        self.stack.service.set_faults({'hang_up': True})
+        answer = self.stack.post('/services/plain/orders/8', {'eggs': 6})
+        self.assertEqual('502 engine_failed unknown', self.refused(answer))
+        self.assertEqual(1, len(self.stack.service.ledger))
+
+    def test_a_repeatable_call_is_sent_again_within_the_budget(self):
+        self.stack.service.set_faults({'hang_up': True})
+        answer = self.stack.post('/services/plain/stock', {})
+        self.assertEqual('unknown', answer.json()['ran'])
+        # There is no other service to go to.
+        self.assertEqual(1, len(self.stack.service.ledger))
+
+    def test_a_caller_may_tighten_but_not_loosen(self):
+        self.stack.service.set_faults({'hang_up': True})
+        headers = {'Seamhold-Repeatable': 'yes'}
+        answer = self.stack.post('/services/plain/orders/9', {}, **headers)
+        self.assertEqual('502 engine_failed unknown', self.refused(answer))
+        self.assertEqual(1, len(self.stack.service.ledger))
+
+    def test_the_time_of_the_caller_is_kept(self):
+        self.stack.service.set_faults({'answer_seconds': 3.0})
+        headers = {'Seamhold-Timeout': '0.3'}
+        answer = self.stack.post('/services/plain/orders/10', {}, **headers)
+        self.assertEqual('504 answer_timeout unknown', self.refused(answer))
+
     def test_keys_and_prompts_are_not_logged(self):
         self.stack.post(
             CHAT, self.stack.chat(messages=[{'role': 'user', 'content': 'secret-text'}])
