Watches of the settings are short, so that few boxes watch soon

The two-second first watch helped only if all boxes had been heard when it ended; a box that came slowly was taken for silent, a fourth box watched in its place, and then for twenty seconds.

Ruled out: counting wrongly (the stand-in's count falls when a watch ends); a longer silence before a box is suspected (a lost box would keep its shares).

Change: a watch of the settings lasts four seconds, always; three watchers make 0.75 reads a second, whatever the size of the fleet.

--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -33,7 +33,9 @@
 WATCHERS_KEY = 'settings-watchers'
 NOT_WATCHING_SECONDS = 1.0
 OFFER_SECONDS = 5.0
-FIRST_WATCH_SECONDS = 2.0
+#: A watch of the settings is short: whether a box is one of the watchers is
+#: asked between two of them, and few boxes watch.
+SETTINGS_WATCH_SECONDS = 4.0
 #: Calls at once for an engine whose listing does not say.
 DEFAULT_SLOTS = 64
 
@@ -69,6 +71,7 @@
     """Follows one collection; subclasses say what is done with it."""
 
     kind: ObjectKind
+    watch_seconds = WATCH_SECONDS
 
     def __init__(self, platform: PlatformClient, metrics: Metrics, chance: random.Random):
         self.platform = platform
@@ -124,15 +127,11 @@
         page = self.platform.list(self.kind)
         self.listed(page.objects)
         version = page.version
-        # The first watch is short: a box that just came does not know the
-        # others yet, and may not be one that has to watch.
-        seconds = FIRST_WATCH_SECONDS
         while not self._stopped.is_set() and self.wanted():
-            for event in self.platform.watch(self.kind, version, seconds):
+            for event in self.platform.watch(self.kind, version, self.watch_seconds):
                 version = event.object.version or version
                 if event.kind is not WatchKind.BOOKMARK:
                     self.changed(event.kind, event.object)
-            seconds = WATCH_SECONDS
 
 
 class ListFollower(Follower):
@@ -186,6 +185,7 @@
     """
 
     kind = ObjectKind.SETTINGS
+    watch_seconds = SETTINGS_WATCH_SECONDS
 
     def __init__(
         self,
