--- a/standins/standins/demo.py
+++ b/standins/standins/demo.py
@@ -27,6 +27,8 @@
     'Make the shopping list shorter.',
 )
 ENGINES = 3
+#: What a shell expects of a program that was interrupted.
+CTRL_C = 130
 BOXES = ('box-1', 'box-2')
 
 
@@ -224,6 +226,9 @@
     except FleetError as error:
         print(f'The demo failed: {error}', file=sys.stderr)
         sys.exit(1)
+    except KeyboardInterrupt:
+        say('Stopped.')
+        sys.exit(CTRL_C)
 
 
 if __name__ == '__main__':
