Growth is measured up to 64 boxes and 667 engines

Cause: the run of 64 boxes and 667 engines with knowledge from reports alone did not end in four minutes: the driver's fake reports are summed anew for each decision.

Ruled out: the router (the other ways at that size take under a minute).

--- a/measure/growth.py
+++ b/measure/growth.py
@@ -7,6 +7,7 @@
 #: Boxes, engines, and how many times the calls of today.
 SIZES = ((8, 10, 1.0), (8, 100, 10.0), (64, 100, 10.0), (64, 667, 40.0))
 SECONDS = 25.0
+REPORTS_MAX_ENGINES = 100
 BUDGET = 8192
 WAYS = (
     Way('hash alone', 'hash', hints=False, budget=BUDGET),
@@ -35,6 +36,9 @@
         Run('kusina', 'calm', way, 1, boxes, engines, scale, SECONDS)
         for boxes, engines, scale in SIZES
         for way in WAYS
+        # The fake reports are summed anew for each call, which takes too long
+        # there; a box would not do that.
+        if way.knowledge != 'reports' or engines <= REPORTS_MAX_ENGINES
     ]
     rows = [
         as_row(figures, boxes=run.boxes, engines=run.engines, way=run.way.name)
