--- a/measure/growth.py
+++ b/measure/growth.py
@@ -45,8 +45,9 @@
         for run, figures in zip(runs, do_all(runs), strict=True)
     ]
     about = (
-        f'Kusina mix, calm, {SECONDS:g} s, one seed, a budget of {BUDGET} B/s a box.  From 64 '
-        'boxes on, digests cannot reach every peer in time within the budget; "reports" is '
-        "what boxes would know from engines' reports, one second old, if these were spread."
+        f'Kusina mix, calm, {SECONDS:g} s, one seed, a budget of {BUDGET} B/s a box.  At 64 '
+        'boxes a box hears about 14 neighbours; "reports" is what boxes would know from '
+        "engines' reports, one second old, if these were spread.  It was not run at 667 "
+        'engines.'
     )
     save('growth', rows, '\n\n'.join(['# Growth', about, table(rows, COLUMNS)]))
