A caller whose body does not come is told so, and that nothing ran

Cause: reading the entry as a newcomer: a body that stopped coming ended in `internal`, ran unknown, although nothing had been sent to an engine; and cheroot then waited for the rest once more and closed without an answer.

Ruled out: a shorter idle time (slow is not wrong until the time is up).

Change: `caller_too_slow`, 408, ran no; the unread rest is given up. Tests of a body that stops and of a caller that reads late.

Before: the new test got an empty answer. After: 408 with the code; the late reader gets its whole stream.

--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -75,6 +75,13 @@
     status = 413
 
 
+class CallerTooSlow(SeamholdError):
+    """The request's body did not come in time, or its caller left."""
+
+    code = 'caller_too_slow'
+    status = 408
+
+
 class UnknownModel(SeamholdError):
     """The workspace has no service that serves this model."""
 
--- a/packages/router/seamhold/entry.py
+++ b/packages/router/seamhold/entry.py
@@ -14,6 +14,7 @@
     BadRequest,
     BodyTooLarge,
     BoxFull,
+    CallerTooSlow,
     Internal,
     NotReady,
     SeamholdError,
@@ -179,7 +180,7 @@
             return b''
         parts = []
         size = 0
-        while data := cherrypy.request.rfile.read(READ_BYTES):
+        while data := self._read_part():
             size += len(data)
             if size > BODY_MAX_BYTES:
                 raise BodyTooLarge(f'at most {BODY_MAX_BYTES} bytes')
@@ -188,6 +189,15 @@
             raise BadRequest('the body ended early')
         return b''.join(parts)
 
+    @staticmethod
+    def _read_part() -> bytes:
+        try:
+            return cherrypy.request.rfile.read(READ_BYTES)
+        except OSError as error:
+            # cheroot would wait for the rest once more before it answers.
+            cherrypy.request.wsgi_environ['wsgi.input'].remaining = 0
+            raise CallerTooSlow('the body did not come') from error
+
     def _models(self, workspace: str) -> bytes:
         tree = self._desk.tree
         models = []
@@ -223,7 +233,7 @@
             detail=error.detail,
         )
         headers = problem_headers(error, request_id)
-        if error.status in (400, 413):
+        if error.status in (400, 408, 413):
             # The body may not have been read, so the connection is no use.
             headers['Connection'] = 'close'
         return send_problem(error, request_id, headers)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import time
+import unittest.mock
 
 import testtools
 
@@ -12,6 +13,48 @@
 CHAT = '/v1/chat/completions'
 
 
+class TestSlowCallers(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        patch = unittest.mock.patch('seamhold.pages.CALLER_IDLE_SECONDS', 0.5)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.stack = Stack()
+        self.addCleanup(self.stack.close)
+
+    def connect(self) -> socket.socket:
+        caller = socket.create_connection((HOST, int(self.stack.url.rpartition(':')[2])))
+        self.addCleanup(caller.close)
+        caller.settimeout(10)
+        return caller
+
+    def test_a_body_that_does_not_come(self):
+        caller = self.connect()
+        caller.sendall(
+            f'POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n'
+            'Content-Length: 500\r\n\r\n{"model": '.encode()
+        )
+        answer = caller.makefile('rb').read()
+        self.assertIn(b' 408 ', answer.partition(b'\r\n')[0])
+        self.assertIn(b'"code": "caller_too_slow"', answer)
+        self.assertIn(b'"ran": "no"', answer)
+        self.assertEqual([], self.stack.engine.ledger)
+        self.assertEqual(0, self.stack.box.gate.active)
+
+    def test_a_caller_that_reads_late_gets_its_whole_answer(self):
+        body = json.dumps(self.stack.chat(stream=True, max_tokens=300)).encode()
+        caller = self.connect()
+        caller.sendall(
+            f'POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n'
+            f'Connection: close\r\nContent-Length: {len(body)}\r\n\r\n'.encode()
+            + body
+        )
+        time.sleep(1.5)
+        answer = caller.makefile('rb').read()
+        self.assertIn(b'data: [DONE]', answer)
+        self.assertTrue(answer.endswith(b'0\r\n\r\n'))
+
+
 class TestEntry(testtools.TestCase):
     def setUp(self):
         super().setUp()
