--- a/packages/membership/seamhold_membership/budget.py
+++ b/packages/membership/seamhold_membership/budget.py
@@ -29,9 +29,3 @@
         self._left -= size
         self.spent += size
         return True
-
-    def charge(self, size: int, now: float) -> None:
-        """Spend bytes that had to be sent, into debt if need be."""
-        self._refill(now)
-        self._left -= size
-        self.spent += size
--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-from seamhold_attempts.claims import ClaimState
 from seamhold_messages.errors import SeamholdError
 from seamhold_messages.fleet import Box, Engine
 
@@ -68,10 +67,3 @@
     owner: str
     body_hash: str
     wait: float
-
-
-@dataclass(frozen=True, slots=True)
-class ClaimAnswer:
-    """What became of a key."""
-
-    state: ClaimState
