Boxes tell each other which engines have read what, and engines fetch from each other

Change: a table of holders (placement.holders), fed by a box's own placements and by its peers' digests (8 bytes each); holders are tried before the rank order, and an engine that does not hold a chat is told where to fetch it from.

--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -10,7 +10,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 
-from seamhold_messages.work import NO_WORK, Usage, Work
+from seamhold_messages.work import NO_WORK, Holding, Usage, Work
 
 from .gossip import Event
 
@@ -25,7 +25,8 @@
     `seq` counts this box's messages to this peer from 1; `base` is the one
     that the entries are relative to, 0 if the digest is full.
     `settings_total` and `settings_print` tell which settings are in force
-    there, so that a peer that is behind can pull them.
+    there, so that a peer that is behind can pull them.  `held` tells which
+    engines read which chats lately, as far as it is new.
     """
 
     box: str
@@ -39,6 +40,7 @@
     seq: int = 1
     base: int = 0
     ack: int = 0
+    held: tuple[Holding, ...] = ()
 
     @property
     def full(self) -> bool:
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -28,12 +28,14 @@
 class Serving:
     """The engines of a service that may get work, until a time.
 
-    `weights` draw chats: less for an engine that just came.
+    `weights` draw chats: less for an engine that just came.  `leaving` get no
+    new work, but still hold what they have read.
     """
 
     engines: dict[str, Engine]
     weights: dict[str, float]
     until: float
+    leaving: dict[str, Engine] = field(default_factory=dict)
 
 
 class EngineView:
@@ -159,6 +161,7 @@
     def _work_out(self, service: str, now: float) -> Serving:
         found: dict[str, Engine] = {}
         suspects: dict[str, Engine] = {}
+        leaving: dict[str, Engine] = {}
         until = math.inf
         for name, state in self._states.items():
             if state.engine.service != service:
@@ -168,10 +171,12 @@
                 found[name] = state.engine
             elif phase is Phase.SUSPECT:
                 suspects[name] = state.engine
+            elif phase is Phase.LEAVING:
+                leaving[name] = state.engine
             until = min(until, self._next_change(state, now))
         engines = found or suspects
         weights = {name: self._weight(self._states[name], now) for name in engines}
-        return Serving(engines, weights, until)
+        return Serving(engines, weights, until, leaving)
 
     def _next_change(self, state: _EngineState, now: float) -> float:
         """When time alone may change how an engine is treated."""
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -59,12 +59,20 @@
     sticky: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """An engine that has read what a chat shares; `chat` is a 32-bit hash of its key."""
+
+    chat: int
+    engine: str
+
+
 @dataclass(frozen=True, slots=True)
 class Placed:
     """The call goes to `engine`, which stands at `rank` for its chat.
 
     `spilled` tells that it is not the one that holds the chat's cache, as
-    far as that is known.
+    far as that is known; `fetch_from` is the address of one that should.
     """
 
     call_id: str
@@ -73,6 +81,7 @@
     rank: int
     spilled: bool
     incarnation: str = ''
+    fetch_from: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -14,7 +14,7 @@
 from seamhold_messages.errors import error_from
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import Usage, Work
+from seamhold_messages.work import Holding, Usage, Work
 from seamhold_settings.versions import Candidate
 
 from .calls import (
@@ -93,6 +93,9 @@
             incarnation=event.incarnation,
             origin=event.origin,
         )
+    for holding in digest.held:
+        part.held_chats.append(holding.chat)
+        part.held_engines.append(NameTable.key(holding.engine))
     return part
 
 
@@ -148,6 +151,11 @@
         part.seq,
         part.base,
         part.ack,
+        tuple(
+            Holding(chat, name)
+            for chat, key in zip(part.held_chats, part.held_engines, strict=False)
+            if (name := names.name(key))
+        ),
     )
 
 
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -149,6 +149,7 @@
             remaining,
             request.resume_after,
             request.urgency,
+            placed.fetch_from,
         )
         headers = SKIPPED | request.headers | self._dialect.headers(words)
         try:
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -207,7 +207,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptWords:
-    """What a backend server is told beside the caller's own head."""
+    """What a backend server is told beside the caller's own head.
+
+    `fetch_from` is the address of another that has read the prompt's shared
+    parts, '' for none.
+    """
 
     request_id: str
     workspace: str
@@ -215,6 +219,7 @@
     remaining: float
     resume_after: str = ''
     urgency: int | None = None
+    fetch_from: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -22,7 +22,7 @@
 from seamhold_messages.errors import NoEngine, SeamholdError
 from seamhold_messages.fleet import Box, Engine
 from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
-from seamhold_placement import BoundPolicy, Chooser, LoadTable, choose
+from seamhold_placement import BoundPolicy, Chooser, HolderTable, LoadTable, choose
 from seamhold_settings import Tree
 from seamhold_settings.resolve import DEFAULTS
 
@@ -62,6 +62,7 @@
         self.engines = EngineView()
         self.boxes = BoxView(box)
         self.loads = loads or LoadTable()
+        self.holders = HolderTable()
         self._chooser = chooser
         self.limits = WorkspaceLimits(box)
         self.events = EventLog()
@@ -125,6 +126,7 @@
         if whole is not None:
             self.loads.set_peer(digest.box, whole.loads)
             self.limits.set_peer(digest.box, whole.usage, whole.ack)
+        self.holders.heard(digest.held, now)
         if digest.leaving:
             event = Event(EventKind.BOX_LEAVING, digest.box, digest.incarnation, digest.box)
             self._take_event(event, now)
@@ -186,7 +188,7 @@
         if patient and placed.spilled:
             service.patient.append(call.id)
             return [Queued(call.id)]
-        return [self._start(placed, call)]
+        return [self._start(placed, call, now)]
 
     def _enqueue(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
         space = self.tree.workspaces.get(call.workspace)
@@ -201,13 +203,15 @@
     def _service(self, name: str) -> ServiceRouter:
         service = self._services.get(name)
         if service is None:
-            service = ServiceRouter(name, self.engines, self.loads, self._chooser)
+            service = ServiceRouter(name, self.engines, self.loads, self.holders, self._chooser)
             service.use_plan(self._plan(name))
             self._services[name] = service
         return service
 
-    def _start(self, placed: Placed, call: Call) -> Placed:
+    def _start(self, placed: Placed, call: Call, now: float) -> Placed:
         self._active[call.id].engine = placed.engine
+        if call.sticky:
+            self.holders.placed(call.chat, placed.engine, now)
         self.loads.start(placed.engine, call.work)
         return placed
 
@@ -240,7 +244,7 @@
         service = self._service(active.call.service)
         placed = service.place(active.call, now)
         if placed:
-            return self._count([self._start(placed, active.call)])
+            return self._count([self._start(placed, active.call, now)])
         if not service.any_engine(now, active.call.excluded):
             error = NoEngine('no other engine serves this', NO_ENGINE_RETRY_SECONDS)
             return self._count([Refused(call_id, error.code, error.detail, error.retry_after)])
@@ -323,7 +327,7 @@
             if placed is None:
                 break
             service.queue.remove(call.id, now)
-            decisions.append(self._start(placed, call))
+            decisions.append(self._start(placed, call, now))
         return decisions
 
     def _count(self, decisions: list[Decision]) -> list[Decision]:
@@ -347,6 +351,7 @@
             settings_total=settings_total,
             settings_print=settings_print,
             events=self.events.pending(EVENTS_PER_DIGEST),
+            held=self.holders.news(now),
         )
         ack = self._receiver.last(peer)
         message = self._sender.next_for(peer, digest, ack)
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -11,6 +11,7 @@
     BoundPolicy,
     Candidate,
     Chooser,
+    HolderTable,
     LoadTable,
     Ranking,
     Totals,
@@ -45,19 +46,25 @@
         ranking: Ranking,
         serving: Serving,
         loads: LoadTable,
+        holders: list[str] | None = None,
     ):
         self._chat = chat
         self._excluded = excluded
         self._ranking = ranking
         self._serving = serving
         self._loads = loads
-        self._names = self._without_excluded(ranking.first(chat))
+        self._holders = holders or []
+        self._names = self._in_order(ranking.first(chat))
         self._length = len(serving.engines) - sum(name in serving.engines for name in excluded)
 
-    def _without_excluded(self, names: list[str]) -> list[str]:
-        if not self._excluded:
+    def _in_order(self, names: list[str]) -> list[str]:
+        """`names` without those excluded, those that hold the chat first."""
+        if self._excluded:
+            names = [name for name in names if name not in self._excluded]
+        if not self._holders:
             return names
-        return [name for name in names if name not in self._excluded]
+        holders = [name for name in names if name in self._holders]
+        return holders + [name for name in names if name not in self._holders]
 
     def place_of(self, hint: str) -> int | None:
         """The rank of the engine that a hint tells, if it is an early one.
@@ -80,7 +87,7 @@
         if position >= self._length:
             raise IndexError(position)
         if position >= len(self._names):
-            self._names = self._without_excluded(self._ranking.order(self._chat))
+            self._names = self._in_order(self._ranking.order(self._chat))
         name = self._names[position]
         engine = self._serving.engines[name]
         return Candidate(name, self._loads.estimate(name), engine.slots, engine.weight)
@@ -94,7 +101,14 @@
 class ServiceRouter:
     """Ranks, bounds and queues the calls of one service on one box."""
 
-    def __init__(self, name: str, engines: EngineView, loads: LoadTable, chooser: Chooser = choose):
+    def __init__(
+        self,
+        name: str,
+        engines: EngineView,
+        loads: LoadTable,
+        holders: HolderTable,
+        chooser: Chooser = choose,
+    ):
         self.name = name
         self.plan = ServicePlan()
         self.queue = WaitQueue(self.plan.queue_calls)
@@ -102,6 +116,7 @@
         self.patient: list[str] = []
         self._engines = engines
         self._loads = loads
+        self._holders = holders
         self._chooser = chooser
         self._ranking = Ranking()
         self._serving: Serving | None = None
@@ -133,7 +148,10 @@
         The caller notes the work in the load table.
         """
         serving = self._look(now)
-        candidates = RankedEngines(call.chat, call.excluded, self._ranking, serving, self._loads)
+        holders = self._holders.of(call.chat, now) if call.sticky else []
+        candidates = RankedEngines(
+            call.chat, call.excluded, self._ranking, serving, self._loads, holders
+        )
         totals = Totals(self._weight, self._loads.total(self.name))
         hint = candidates.place_of(call.hint)
         if call.sticky:
@@ -144,6 +162,24 @@
             return None
         engine = serving.engines[choice.name]
         spilled = call.sticky and choice.rank != (hint or 0)
+        fetch_from = self._other_holder(holders, choice.name, serving)
         return Placed(
-            call.id, choice.name, engine.address, choice.rank, spilled, engine.incarnation
+            call.id,
+            choice.name,
+            engine.address,
+            choice.rank,
+            spilled,
+            engine.incarnation,
+            fetch_from,
         )
+
+    @staticmethod
+    def _other_holder(holders: list[str], chosen: str, serving: Serving) -> str:
+        """The address of an engine that `chosen` may fetch from, '' if it holds all."""
+        if chosen in holders:
+            return ''
+        for name in holders:
+            engine = serving.engines.get(name) or serving.leaving.get(name)
+            if engine is not None:
+                return engine.address
+        return ''
