An engine is suspect by evidence, not by one lost answer; tests of forwarding

Cause: with one in forty answers lost or spoilt on good engines, each loss kept a box away from the engine for two seconds and told all others so.

Change: a refused connection is proof, a lost or broken answer is half of one, an engine's own failure a quarter; a whole answer clears it. Peers are told when an engine becomes suspect, not at every failure.

--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -21,6 +21,8 @@
     rising: bool = False
     suspect_until: float = 0.0
     flaps: int = 0
+    #: Evidence against it since its last whole answer.
+    evidence: float = 0.0
     reporters: dict[str, float] = field(default_factory=dict)
 
 
@@ -42,10 +44,13 @@
     """Engines by name with the phase this box gives them.
 
     `rising_seconds` is how long an engine takes to its full weight after it
-    joins; `suspect_seconds` is how long this box avoids an engine after one
-    of its own calls failed there, doubled for each failure in a row.
+    joins; `suspect_seconds` is how long this box avoids an engine after its
+    own calls failed there, doubled for each time in a row.
     """
 
+    #: Evidence that makes an engine suspect: each failed call adds a part.
+    EVIDENCE_MAX = 1.0
+
     FLAPS_MAX = 5
     REPORTERS_FOR_SUSPECT = 3
     REPORT_SECONDS = 5.0
@@ -84,19 +89,29 @@
         self._leaving[name] = incarnation
         self._serving.clear()
 
-    def failed(self, name: str, now: float) -> None:
-        """One of this box's calls met a dead or failing engine."""
+    def failed(self, name: str, now: float, evidence: float = 1.0) -> bool:
+        """One of this box's calls failed; True if that makes the engine suspect.
+
+        `evidence` is 1 where one call is proof enough.
+        """
         state = self._states.get(name)
         if state is None:
-            return
+            return False
+        state.evidence += evidence
+        if state.evidence < self.EVIDENCE_MAX:
+            return False
         state.flaps = min(state.flaps + 1, self.FLAPS_MAX)
         state.suspect_until = now + self.suspect_seconds * 2 ** (state.flaps - 1)
         self._serving.clear()
+        return True
 
     def answered(self, name: str) -> None:
         """One of this box's calls was answered whole."""
         state = self._states.get(name)
-        if state is not None and (state.flaps or state.reporters):
+        if state is None:
+            return
+        state.evidence = 0.0
+        if state.flaps or state.reporters:
             state.flaps = 0
             state.suspect_until = 0.0
             state.reporters.clear()
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -31,6 +31,14 @@
 #: Events that one digest carries at most.
 EVENTS_PER_DIGEST = 8
 NO_ENGINE_RETRY_SECONDS = 1.0
+#: What each way for a call to fail says against its engine.  A connection that
+#: is refused is proof; answers are lost, and calls fail, on good engines too.
+EVIDENCE = {
+    Outcome.NOT_SENT: 1.0,
+    Outcome.FAILED: 0.5,
+    Outcome.BROKEN: 0.5,
+    Outcome.ANSWERED_FAILURE: 0.25,
+}
 
 
 @dataclass(slots=True)
@@ -229,8 +237,7 @@
         self.counts[f'outcome.{outcome}'] += 1
         if outcome is Outcome.DONE:
             self.engines.answered(engine)
-        elif outcome in (Outcome.NOT_SENT, Outcome.FAILED, Outcome.BROKEN):
-            self.engines.failed(engine, now)
+        elif outcome in EVIDENCE and self.engines.failed(engine, now, EVIDENCE[outcome]):
             listed = self.engines.get(engine)
             if listed is not None:
                 event = Event(EventKind.ENGINE_FAILING, engine, listed.incarnation, self.box)
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,261 @@
+"""Forwarded requests: routes, heads, streams, holders, and what callers are told."""
+
+import io
+import socket
+import threading
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from seamhold.forwarding.caller_watch import CallerWatch
+from seamhold.forwarding.calls import shared_part
+from seamhold.forwarding.entry import told_status
+from seamhold.forwarding.events import EventCheck
+from seamhold.forwarding.heads import StrictHeaderReader, end_to_end
+from seamhold.ports import Cancellation, PromptPart
+from seamhold_messages.errors import ERRORS_BY_CODE, EngineRefused, NoEngine, Ran
+from seamhold_messages.fleet import Engine, Phase
+from seamhold_messages.work import Call, Placed, Work
+from seamhold_placement import HolderTable
+from seamhold_routing import Router
+from seamhold_settings import Candidate, InForce, Step, Tree
+from seamhold_settings.forwarding import RouteTable, choose_share
+from seamhold_settings.schema import ServiceShare
+from seamhold_settings.tree import TREE_OBJECT, SettingsFile, check, without_unsound_routes
+
+KEY = 'sha256:' + '0' * 64
+OTHER_KEY = 'sha256:' + '1' * 64
+
+
+def route(host: str, prefix: str, **more) -> dict:
+    return {'host': host, 'path_prefix': prefix, 'shares': [{'service': 'llm'}]} | more
+
+
+def tree_values(*routes: dict, workspaces: dict | None = None) -> dict:
+    return {
+        'fleet': {'services': {'llm': {'kind': 'plain'}}, 'forwarding': list(routes)},
+        'workspaces': workspaces or {},
+    }
+
+
+def table(*routes: dict, workspaces: dict | None = None) -> RouteTable:
+    found = check(SettingsFile, tree_values(*routes, workspaces=workspaces))
+    return RouteTable(Tree(found.fleet, dict(found.workspaces)))
+
+
+class TestRouteTable(testtools.TestCase):
+    def test_the_longest_prefix_of_the_host_wins(self):
+        routes = table(route('a', '/'), route('a', '/x/'), route('a', '/x/y/'), route('b', '/z/'))
+        self.assertEqual('/x/y/', routes.find('a', '/x/y/1').path_prefix)
+        self.assertEqual('/x/', routes.find('A:80', '/x/y?q=/x/y/').path_prefix)
+        self.assertEqual('/', routes.find('a', '/').path_prefix)
+        self.assertIsNone(routes.find('b', '/x/'))
+        self.assertIsNone(routes.find('c', '/'))
+
+    @given(st.text('ab/', max_size=12))
+    def test_look_up_agrees_with_trying_every_prefix(self, path):
+        prefixes = ['/a/', '/a/b/', '/b/', '/a/a/a/', '/']
+        routes = table(*(route('h', prefix) for prefix in prefixes))
+        fitting = [prefix for prefix in prefixes if f'/{path}'.startswith(prefix)]
+        self.assertEqual(max(fitting, key=len), routes.find('h', f'/{path}').path_prefix)
+
+    def test_a_key_of_two_workspaces_names_none(self):
+        spaces = {'one': {'keys': [KEY, OTHER_KEY]}, 'two': {'keys': [KEY]}}
+        routes = table(route('a', '/'), workspaces=spaces)
+        self.assertIsNone(routes.workspace_of(KEY))
+        self.assertEqual('one', routes.workspace_of(OTHER_KEY))
+
+    def test_a_routes_policy_overrides_what_it_inherits(self):
+        spaces = {'one': {'policy': {'deadline': 5, 'priority': 2}}}
+        routes = table(route('a', '/', policy={'priority': 1}), workspaces=spaces)
+        policy = routes.policy(routes.find('a', '/'), 'llm', 'one')
+        self.assertEqual((5, 1), (policy.deadline, policy.priority))
+        self.assertEqual(2, routes.workspace_priority('one'))
+
+    def test_a_service_without_weight_gets_nothing(self):
+        shares = [ServiceShare(service='new', weight=0), ServiceShare(service='old', weight=3)]
+        self.assertEqual({'old'}, {choose_share(shares, str(number)) for number in range(200)})
+        self.assertIsNone(choose_share([ServiceShare(service='new', weight=0)], 'x'))
+
+    def test_shares_follow_weights(self):
+        shares = [ServiceShare(service='a', weight=90), ServiceShare(service='b', weight=10)]
+        went = [choose_share(shares, f'request-{number}') for number in range(4000)]
+        self.assertTrue(300 < went.count('b') < 500, went.count('b'))
+
+
+class TestWholeTree(testtools.TestCase):
+    def test_a_route_that_cannot_be_read_leaves_the_others_in_force(self):
+        values = tree_values(route('a', '/'), route('a', 'no-slash'), {'host': 'a'})
+        sound, problems = without_unsound_routes(values)
+        self.assertEqual(2, len(problems))
+        state = InForce()
+        self.assertEqual(Step.TAKEN, state.offer(Candidate(TREE_OBJECT, 7, '7', sound)))
+        self.assertEqual(1, len(state.tree.fleet.forwarding))
+        self.assertTrue(state.ready)
+
+    def test_an_older_tree_never_comes_back(self):
+        state = InForce()
+        state.offer(Candidate(TREE_OBJECT, 7, '7', tree_values(route('a', '/new/'))))
+        older = Candidate(TREE_OBJECT, 5, '5', tree_values(route('a', '/old/')))
+        self.assertNotEqual(Step.TAKEN, state.offer(older))
+        self.assertEqual('/new/', state.tree.fleet.forwarding[0].path_prefix)
+
+
+class TestHeads(testtools.TestCase):
+    def read(self, text: str) -> dict:
+        return StrictHeaderReader()(io.BytesIO(text.encode() + b'\r\n'), {})
+
+    def test_a_plain_head_is_read(self):
+        headers = self.read('Host: a\r\nContent-Length: 3\r\n')
+        self.assertEqual(b'3', headers[b'Content-Length'])
+
+    def test_what_could_be_read_two_ways_is_refused(self):
+        for text in (
+            'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n',
+            'Content-Length: 3\r\nContent-Length: 4\r\n',
+            'Content-Length: 3\r\ncontent-length: 3\r\n',
+            'Content-Length: -1\r\n',
+            'Content-Length: +3\r\n',
+            'Transfer-Encoding: gzip, chunked\r\n',
+            'Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n',
+            'Host: a\r\n b: c\r\n',
+            'Host : a\r\n',
+            'Host: a\r\nHost: b\r\n',
+        ):
+            with testtools.ExpectedException(ValueError):
+                self.read(text)
+
+    def test_headers_of_the_connection_stay_behind(self):
+        headers = {'Connection': 'close, X-Private', 'X-Private': '1', 'Te': 't', 'Accept': 'a'}
+        self.assertEqual({}, end_to_end(headers, frozenset({'accept'})))
+        self.assertEqual({'Accept': 'a'}, end_to_end(headers, frozenset()))
+
+
+class TestEventCheck(testtools.TestCase):
+    @given(st.lists(st.integers(1, 12), max_size=12))
+    def test_only_whole_events_pass_however_they_are_cut(self, cuts):
+        whole = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 6))
+        stream = whole + b'id: 6\ndata: half'
+        check_events = EventCheck()
+        passed = b''
+        start = 0
+        for size in [*cuts, len(stream)]:
+            passed += check_events.feed(stream[start : start + size])
+            start += size
+        self.assertEqual(whole, passed)
+        self.assertEqual('5', check_events.position)
+        self.assertFalse(check_events.end())
+        check_events.restart()
+        self.assertEqual(b'id: 6\n\n', check_events.feed(b'id: 6\n\n'))
+        self.assertTrue(check_events.end())
+
+    def test_an_event_without_an_id_keeps_the_last_one(self):
+        check_events = EventCheck('4')
+        check_events.feed(b'data: id: 9\n\n')
+        self.assertEqual('4', check_events.position)
+
+
+class TestCallerWatch(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.watch = CallerWatch()
+        self.watch.start()
+        self.addCleanup(self.watch.stop)
+        self.ours, self.theirs = socket.socketpair()
+        self.addCleanup(self.ours.close)
+        self.addCleanup(self.theirs.close)
+        self.left = threading.Event()
+        self.cancellation = Cancellation()
+        self.cancellation.attach(self.left.set)
+
+    def test_a_caller_that_closes_is_noticed(self):
+        self.watch.add(self.ours, self.cancellation)
+        self.theirs.close()
+        self.assertTrue(self.left.wait(2))
+
+    def test_the_next_request_is_no_leaving(self):
+        self.watch.add(self.ours, self.cancellation)
+        self.theirs.send(b'GET')
+        self.assertFalse(self.left.wait(0.2))
+        self.watch.remove(self.ours)
+        self.assertEqual(b'GET', self.ours.recv(3))
+
+    def test_a_call_cancelled_before_it_waits_breaks_off_at_once(self):
+        cancellation = Cancellation()
+        cancellation.cancel()
+        broken = threading.Event()
+        cancellation.attach(broken.set)
+        self.assertTrue(broken.is_set())
+
+
+class TestToldStatus(testtools.TestCase):
+    def test_no_promise_is_made_where_a_call_may_have_run(self):
+        for kind in ERRORS_BY_CODE.values():
+            error = kind('')
+            error.ran = Ran.UNKNOWN
+            self.assertNotIn(told_status(error), (408, 421, 429, 503))
+
+    def test_a_call_that_did_not_run_says_so(self):
+        self.assertEqual(503, told_status(EngineRefused('')))
+        self.assertEqual(503, told_status(NoEngine('')))
+
+
+class TestHolders(testtools.TestCase):
+    def engines(self, *names: str, phase: Phase = Phase.LIVE) -> list[Engine]:
+        return [Engine(name, 'llm', f'{name}:80', incarnation=name, phase=phase) for name in names]
+
+    def place(self, router: Router, number: int, now: float, chat: str = 'chat') -> Placed:
+        call = Call(f'call-{number}', 'w', 'llm', chat, Work(1, 1), now + 10)
+        placed = router.admit(call, now)[0]
+        router.close(call.id, now)
+        return placed
+
+    def test_a_chat_stays_with_the_engine_that_read_it_when_others_come(self):
+        router = Router('box', 'x')
+        router.set_engines(self.engines('e1', 'e2'), 0.0)
+        first = {chat: self.place(router, 1, 0.0, chat).engine for chat in map(str, range(40))}
+        router.set_engines(self.engines(*(f'e{number}' for number in range(1, 9))), 1.0)
+        later = {chat: self.place(router, 2, 30.0, chat).engine for chat in first}
+        self.assertEqual(first, later)
+
+    def test_another_box_hears_who_holds_a_chat(self):
+        one, other = Router('one', 'x'), Router('other', 'y')
+        for router in (one, other):
+            router.set_engines(self.engines('e1', 'e2', 'e3'), 0.0)
+        held = self.place(one, 1, 0.0).engine
+        other.holders.heard(one.holders.news(0.1), 0.1)
+        self.assertEqual([held], other.holders.of('chat', 0.2))
+
+    def test_an_engine_that_leaves_is_fetched_from(self):
+        router = Router('box', 'x')
+        router.set_engines(self.engines('e1', 'e2'), 0.0)
+        held = self.place(router, 1, 0.0).engine
+        rest = [name for name in ('e1', 'e2') if name != held]
+        leaving = self.engines(held, phase=Phase.LEAVING)
+        router.set_engines([*leaving, *self.engines(*rest)], 1.0)
+        placed = self.place(router, 2, 1.0)
+        self.assertEqual((rest[0], f'{held}:80'), (placed.engine, placed.fetch_from))
+        again = self.place(router, 3, 1.1)
+        self.assertEqual((rest[0], ''), (again.engine, again.fetch_from))
+
+    def test_news_is_told_for_a_while_and_only_once_by_its_box(self):
+        holders = HolderTable()
+        holders.placed('chat', 'e1', 0.0)
+        holders.placed('chat', 'e1', 0.1)
+        self.assertEqual(1, len(holders.news(0.2)))
+        self.assertEqual((), holders.news(5.0))
+
+    def test_a_call_that_is_not_sticky_goes_where_load_is_least(self):
+        router = Router('box', 'x')
+        router.set_engines(self.engines('e1', 'e2', 'e3'), 0.0)
+        for number in range(9):
+            call = Call(f'n{number}', 'w', 'llm', f'n{number}', Work(1, 1), 10.0, sticky=False)
+            router.admit(call, 0.0)
+        loads = [router.loads.estimate(name).requests for name in ('e1', 'e2', 'e3')]
+        self.assertEqual([3, 3, 3], loads)
+
+    def test_placement_goes_by_the_last_shared_part(self):
+        parts = (PromptPart('a', 500), PromptPart('b', 9000), PromptPart('own', 100))
+        self.assertEqual('b', shared_part(parts).id)
+        self.assertIsNone(shared_part(()))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -36,6 +36,16 @@
         self.assertEqual({'b'}, set(view.serving('s', 1.0).engines))
         self.assertEqual({'a', 'b'}, set(view.serving('s', 2.1).engines))
 
+    def test_one_lost_answer_is_not_proof_and_two_in_a_row_are(self):
+        view = EngineView(suspect_seconds=2)
+        view.set_list([Engine('a', 's', ''), Engine('b', 's', '')], 0.0)
+        self.assertFalse(view.failed('a', 0.0, 0.5))
+        self.assertEqual(Phase.LIVE, view.phase('a', 0.1))
+        view.answered('a')
+        self.assertFalse(view.failed('a', 0.2, 0.5))
+        self.assertTrue(view.failed('a', 0.3, 0.5))
+        self.assertEqual(Phase.SUSPECT, view.phase('a', 0.4))
+
     def test_if_all_are_suspect_they_serve(self):
         view = EngineView()
         view.set_list([engine('a')], 0.0)
