Decision logs, a metrics page, and a lean deployment

Cause: a failed request could not be followed from its id; a box carried CherryPy and, through its requirements, rich, that its dialect never uses.

Change: one line a call with what decided it (settings, load and mean, rank, each attempt's outcome), one for each change of belief; log lines go through a bounded queue that drops and counts; counters, gauges and latency histograms by prometheus_client. deploy/ has its own pinned requirements; Gate has a module.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,10 +4,10 @@
 deps=target/deps
 pins=target/requirements.installed
 install="python3 -m pip install --quiet --disable-pip-version-check --target $deps"
-if ! cmp -s requirements.txt "$pins"; then
+if ! cmp -s deploy/requirements.txt "$pins"; then
     rm -rf "$deps"
-    $install --requirement requirements.txt
-    cp requirements.txt "$pins"
+    $install --requirement deploy/requirements.txt
+    cp deploy/requirements.txt "$pins"
 fi
 rm -rf "$deps"/seamhold "$deps"/seamhold_* "$deps"/seamhold-*
 # Only the dialect is found by its metadata; the others are plain packages.
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -73,6 +73,8 @@
 
     `spilled` tells that it is not the one that holds the chat's cache, as
     far as that is known; `fetch_from` is the address of one that should.
+    `load` and `mean` are the calls that the box knew on the engine and on the
+    average one when it decided.
     """
 
     call_id: str
@@ -82,6 +84,8 @@
     spilled: bool
     incarnation: str = ''
     fetch_from: str = ''
+    load: int = 0
+    mean: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/router/seamhold/cli/definition.py
+++ b/packages/router/seamhold/cli/definition.py
@@ -15,9 +15,7 @@
 from ..context import Environment
 from ..dialects import find_dialect
 from ..editing import Applied, SettingsEditor, difference, split_path, to_yaml, tree_values
-from ..forwarding.box import serve as serve_forwarding
-from ..logs import setup_logs
-from ..serve import serve
+from ..logs import BoundedStream, setup_logs
 from ..status import ExitStatus
 from . import constants
 from .exceptions import UsageError
@@ -124,9 +122,14 @@
         """Run a box with the box file SETTINGS until it is told to stop."""
         config = load_box_config(settings)
         if config.dialect:
-            setup_logs(self._environment.stdout, config.log_level)
+            from ..forwarding.box import serve as serve_forwarding
+
+            setup_logs(BoundedStream(self._environment.stdout), config.log_level)
             serve_forwarding(config, self._environment, find_dialect(config.dialect))
             return ExitStatus.SUCCESS
+        # CherryPy's pages are loaded only where they are served.
+        from ..serve import serve
+
         setup_logs(self._environment.stderr, config.log_level)
         serve(config, self._environment)
         return ExitStatus.SUCCESS
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -100,6 +100,11 @@
             self.idle()
 
     def _note_events(self) -> None:
+        beliefs, self._router.beliefs = self._router.beliefs, []
+        for belief in beliefs:
+            self.log.info(
+                'belief.changed', subject=belief.subject, phase=belief.phase, source=belief.source
+            )
         taken = self._router.events.taken
         if taken != self._events_taken:
             self._events_taken = taken
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -1,5 +1,6 @@
 """Puts together a box that forwards requests in a platform's dialect."""
 
+import dataclasses
 import gc
 import os
 import random
@@ -16,8 +17,8 @@
 from ..config import BoxConfig
 from ..context import Environment
 from ..decider import Decider
-from ..decisions import SetBoxes, SetEngines, UseSettings
-from ..entry import Gate
+from ..decisions import SetBoxes, SetEngines, UseSettings, WantReport
+from ..gate import Gate
 from ..keeper import SettingsKeeper
 from ..logs import logger
 from ..metrics import Metrics
@@ -36,6 +37,7 @@
 BOXES_WATCH_SECONDS = 15.0
 SPARE_THREADS = 4
 POLL_SECONDS = 0.05
+STATUS_SECONDS = 1.0
 
 
 class ForwardingBox:
@@ -113,6 +115,7 @@
         self.server.max_request_header_size = bounds.head_bytes
         self.entry.body_bytes = bounds.body_bytes
         self.entry.table = RouteTable(tree)
+        self.entry.settings_version = self.keeper.snapshot.total
         self.budgets.use(tree.fleet.control)
         self.decider.send(UseSettings(tree))
 
@@ -132,7 +135,17 @@
         return self.peering.ready and not self.gate.draining
 
     def _status(self) -> dict:
-        return {'box': self.config.box, 'ready': self._is_ready(), 'calls': self.gate.active}
+        report = self.decider.ask(WantReport()).result(STATUS_SECONDS)
+        self.metrics.gauge('calls_in_flight', report.in_flight)
+        return {
+            'box': self.config.box,
+            'ready': self._is_ready(),
+            'settings': self.keeper.snapshot.total,
+            'in_flight': report.in_flight,
+            'live_boxes': list(report.live_boxes),
+            'engines': [dataclasses.asdict(engine) for engine in report.engines],
+            'counts': report.counts,
+        }
 
     # Life and end.
 
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -25,10 +25,10 @@
 
 from ..config import split_address
 from ..context import Environment
-from ..entry import Gate
+from ..gate import Gate
+from ..listening import ACCEPT_QUEUE, SHUTDOWN_SECONDS
 from ..logs import logger
 from ..metrics import Metrics
-from ..pages import ACCEPT_QUEUE, SHUTDOWN_SECONDS
 from ..ports import Answer, CallerDialect
 from ..problems import CONTENT_TYPE, problem
 from ..runner import Job, Runner
@@ -65,12 +65,13 @@
         self.watch = CallerWatch()
         #: Replaced whole when a tree comes into force.
         self.table: RouteTable | None = None
+        self.settings_version = 0
         self.body_bytes = 0
 
     def answer(self, request: HTTPRequest) -> None:
         """Answer one request; its connection closes if nothing can be told."""
         began = self._environment.monotonic()
-        exchange = _Exchange(request, self._gate.draining)
+        exchange = _Exchange(request, self._gate.draining, self._environment.monotonic)
         try:
             self._gate.enter()
         except SeamholdError as error:
@@ -157,10 +158,23 @@
             ran=error.ran,
             detail=error.detail,
             cut=exchange.sent and not exchange.complete,
-            engines=job.engines if job else [],
+            retry_after=error.retry_after,
+            **self._told_job(job),
             seconds=round(self._environment.monotonic() - began, 3),
         )
 
+    def _told_job(self, job: Job | None) -> dict:
+        """What decided a call, as plain values for its last line."""
+        told = {'settings': self.settings_version}
+        if job is None:
+            return told
+        return told | {
+            'workspace': job.call.workspace,
+            'service': job.call.service,
+            'repeatable': job.rule.repeatable,
+            'attempts': [attempt.as_log() for attempt in job.attempts],
+        }
+
     def _retry_after(self, status: int, error: SeamholdError) -> str | None:
         if status not in PROMISES or error.retry_after is None:
             return None
@@ -168,14 +182,17 @@
 
     def _note_end(self, exchange: '_Exchange', job: Job, began: float) -> None:
         self._metrics.count(f'answered.{exchange.status // 100}xx')
+        now = self._environment.monotonic()
+        self._metrics.latency('whole', job.call.service, now - began)
+        if exchange.first_byte_at:
+            first = exchange.first_byte_at - began
+            self._metrics.latency('first_byte', job.call.service, first)
         self._log.info(
             'call.answered',
             request_id=exchange.request_id,
-            workspace=job.call.workspace,
-            service=job.call.service,
             status=exchange.status,
-            engines=job.engines,
-            seconds=round(self._environment.monotonic() - began, 3),
+            **self._told_job(job),
+            seconds=round(now - began, 3),
         )
 
 
@@ -189,8 +206,10 @@
 class _Exchange:
     """One request on a connection and what was written back to it."""
 
-    def __init__(self, request: HTTPRequest, closing: bool):
+    def __init__(self, request: HTTPRequest, closing: bool, clock: Callable[[], float]):
         self.request = request
+        self._clock = clock
+        self.first_byte_at = 0.0
         self.request_id = ''
         self.status = 0
         self.body_read = False
@@ -236,6 +255,7 @@
             (name.encode('latin-1'), value.encode('latin-1')) for name, value in fields
         ]
         self.status = status
+        self.first_byte_at = self._clock()
         self.sent = True
         request.sent_headers = True
         request.send_headers()
--- a/packages/router/seamhold/forwarding/reports.py
+++ b/packages/router/seamhold/forwarding/reports.py
@@ -6,8 +6,8 @@
 from cheroot.server import Gateway, HTTPRequest, HTTPServer
 
 from ..config import split_address
+from ..listening import SHUTDOWN_SECONDS
 from ..metrics import Metrics
-from ..pages import SHUTDOWN_SECONDS
 
 METRICS_PATH = b'/metrics'
 STATUS_PATH = b'/status'
--- a/packages/router/seamhold/operators.py
+++ b/packages/router/seamhold/operators.py
@@ -13,7 +13,7 @@
 from .config import BoxConfig
 from .decider import Decider
 from .decisions import WantReport
-from .entry import Gate
+from .gate import Gate
 from .keeper import SettingsKeeper, WantSettingsReport
 from .metrics import Metrics
 from .pages import json_page, page_config, send_problem
--- a/packages/router/seamhold/pages.py
+++ b/packages/router/seamhold/pages.py
@@ -8,12 +8,10 @@
 from seamhold_messages.errors import SeamholdError
 
 from .config import split_address
+from .listening import ACCEPT_QUEUE, SHUTDOWN_SECONDS
 from .problems import CONTENT_TYPE, problem
 
-#: Connections that wait for a thread before cheroot turns more away.
-ACCEPT_QUEUE = 512
 CALLER_IDLE_SECONDS = 30
-SHUTDOWN_SECONDS = 2
 
 
 def page_config() -> dict:
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -41,6 +41,32 @@
 CONNECTIONS_MAX = 4
 
 
+@dataclass(slots=True)
+class Attempt:
+    """One attempt, as the logs tell it; `began` is in seconds on the box's clock."""
+
+    placed: Placed
+    began: float
+    outcome: str = ''
+    code: str = ''
+    seconds: float = 0.0
+
+    def as_log(self) -> dict:
+        """Plain values: what decided the attempt and how it ended."""
+        placed = self.placed
+        return {
+            'engine': placed.engine,
+            'rank': placed.rank,
+            'spilled': placed.spilled,
+            'fetched': bool(placed.fetch_from),
+            'load': placed.load,
+            'mean': placed.mean,
+            'outcome': self.outcome,
+            'code': self.code,
+            'seconds': round(self.seconds, 3),
+        }
+
+
 @dataclass(slots=True)
 class Job:
     """One call with everything that is needed to run it.
@@ -58,7 +84,7 @@
     sent: int = 0
     unsent: int = 0
     maybe_ran: bool = False
-    engines: list[str] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
 
 
 class Runner:
@@ -162,7 +188,7 @@
 
     def _open(self, job: Job, placed: Placed, request: EngineRequest) -> OpenAnswer:
         """Begin one attempt; counted by whether it reached its server."""
-        job.engines.append(placed.engine)
+        job.attempts.append(Attempt(placed, self._environment.monotonic()))
         try:
             answer = self._engines.open(placed, request, self._remaining(job), job.cancellation)
         except AttemptFailed as failure:
@@ -176,6 +202,7 @@
 
     def _next_place(self, job: Job, placed: Placed, failure: AttemptFailed, passed: bool) -> Placed:
         """Where the call goes after a failed attempt; raises if nowhere."""
+        self._note_attempt(job, failure.outcome, failure.error.code)
         if failure.outcome not in NOT_RUN:
             job.maybe_ran = True
         if job.cancellation.cancelled:
@@ -204,6 +231,12 @@
         self._check_time(job)
         return found
 
+    def _note_attempt(self, job: Job, outcome: Outcome, code: str = '') -> None:
+        attempt = job.attempts[-1]
+        attempt.outcome = outcome
+        attempt.code = code
+        attempt.seconds = self._environment.monotonic() - attempt.began
+
     @staticmethod
     def _may_go_on(job: Job, failure: AttemptFailed, passed: bool) -> bool:
         """Whether the route's rule allows another attempt."""
@@ -270,6 +303,8 @@
             raise AttemptFailed(Outcome.BROKEN, AnswerCut('the stream ended early'))
 
     def _finish(self, job: Job, outcome: Outcome) -> None:
+        if outcome in (Outcome.DONE, Outcome.CANCELLED):
+            self._note_attempt(job, outcome)
         self._decider.send(Attempted(job.call.id, outcome))
         job.guard.done()
         self._close(job)
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -20,8 +20,9 @@
 from .decisions import SetBoxes, SetEngines, UseSettings
 from .desk import CallDesk
 from .engines import EngineClient
-from .entry import SPARE_THREADS, Entry, Gate, entry_application
+from .entry import SPARE_THREADS, Entry, entry_application
 from .follower import ListFollower, SettingsFollower, box_from, engine_from
+from .gate import Gate
 from .keeper import SettingsKeeper
 from .logs import logger
 from .metrics import Metrics
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -20,7 +20,7 @@
     EventLog,
 )
 from seamhold_messages.errors import NoEngine, SeamholdError
-from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
 from seamhold_placement import BoundPolicy, Chooser, HolderTable, LoadTable, choose
 from seamhold_settings import Tree
@@ -31,6 +31,15 @@
 #: Events that one digest carries at most.
 EVENTS_PER_DIGEST = 8
 NO_ENGINE_RETRY_SECONDS = 1.0
+#: Who told a belief that comes from the platform's list.
+LIST_SOURCE = 'list'
+#: What an event makes of its subject.
+EVENT_PHASES = {
+    EventKind.ENGINE_LEAVING: Phase.LEAVING,
+    EventKind.ENGINE_FAILING: Phase.SUSPECT,
+    EventKind.BOX_LEAVING: Phase.LEAVING,
+    EventKind.BOX_GONE: Phase.GONE,
+}
 #: What each way for a call to fail says against its engine.  A connection that
 #: is refused is proof; answers are lost, and calls fail, on good engines too.
 EVIDENCE = {
@@ -41,6 +50,15 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Belief:
+    """What this box now takes an engine or a box to be, and by whose word."""
+
+    subject: str
+    phase: Phase
+    source: str
+
+
 @dataclass(slots=True)
 class _Active:
     call: Call
@@ -66,6 +84,8 @@
         self.incarnation = incarnation
         self.leaving = False
         self.counts: Counter[str] = Counter()
+        #: Changes of belief since they were last taken, for the logs.
+        self.beliefs: list[Belief] = []
         self.tree = Tree()
         self.engines = EngineView()
         self.boxes = BoxView(box)
@@ -116,7 +136,15 @@
 
     def set_engines(self, engines: list[Engine], now: float) -> list[Decision]:
         """Take over the platform's list of engines."""
+        before = {
+            engine.name: self.engines.phase(engine.name, now) for engine in self.engines.listed()
+        }
         self.engines.set_list(engines, now)
+        after = {engine.name: self.engines.phase(engine.name, now) for engine in engines}
+        for name in before.keys() | after.keys():
+            phase = after.get(name, Phase.GONE)
+            if before.get(name, Phase.GONE) is not phase:
+                self.beliefs.append(Belief(name, phase, LIST_SOURCE))
         return self._drain_queues(now)
 
     def set_boxes(self, boxes: list[Box], now: float) -> None:
@@ -146,6 +174,7 @@
         if not self.events.add(event, len(self.boxes.peers()) + 1):
             return
         self.counts[f'event.{event.kind.name.lower()}'] += 1
+        self.beliefs.append(Belief(event.subject, EVENT_PHASES[event.kind], event.origin))
         if event.kind is EventKind.ENGINE_LEAVING:
             self.engines.leaving(event.subject, event.incarnation)
         elif event.kind is EventKind.ENGINE_FAILING:
@@ -239,6 +268,7 @@
             self.engines.answered(engine)
         elif outcome in EVIDENCE and self.engines.failed(engine, now, EVIDENCE[outcome]):
             listed = self.engines.get(engine)
+            self.beliefs.append(Belief(engine, Phase.SUSPECT, self.box))
             if listed is not None:
                 event = Event(EventKind.ENGINE_FAILING, engine, listed.incarnation, self.box)
                 self.events.add(event, len(self.boxes.peers()) + 1)
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -163,6 +163,8 @@
         engine = serving.engines[choice.name]
         spilled = call.sticky and choice.rank != (hint or 0)
         fetch_from = self._other_holder(holders, choice.name, serving)
+        load = self._loads.estimate(choice.name).requests
+        mean = totals.load.requests / len(serving.engines)
         return Placed(
             call.id,
             choice.name,
@@ -171,6 +173,8 @@
             spilled,
             engine.incarnation,
             fetch_from,
+            load,
+            round(mean, 2),
         )
 
     @staticmethod
