Few boxes watch the store; the others hear lists and settings from them

Change: a box watches if it is among the first three of its neighbours that were heard within a second and that the store serves; digests tell the lists' versions and whether the store is lost, and a box that is behind pulls.

Ruled out: long watches by all boxes (a silent cut is noticed only by the end of a watch).

--- a/packages/membership/seamhold_membership/box_view.py
+++ b/packages/membership/seamhold_membership/box_view.py
@@ -15,6 +15,7 @@
 class _BoxState:
     box: Box
     heard_at: float
+    store_lost: bool = False
     gone_reporters: dict[str, float] = field(default_factory=dict)
 
 
@@ -55,14 +56,18 @@
             # A new neighbour gets its time to speak.
             self._states[name].heard_at = now
 
-    def heard(self, name: str, incarnation: str, now: float) -> bool:
-        """A message came from a box; True if it started anew since."""
+    def heard(self, name: str, incarnation: str, now: float, store_lost: bool = False) -> bool:
+        """A message came from a box; True if it started anew since.
+
+        `store_lost` tells that the platform does not serve that box.
+        """
         state = self._states.get(name)
         if state is None:
             return False
         renewed = bool(state.box.incarnation) and state.box.incarnation != incarnation
         state.box = replace(state.box, incarnation=incarnation)
         state.heard_at = now
+        state.store_lost = store_lost
         state.gone_reporters.clear()
         return renewed
 
@@ -112,6 +117,16 @@
         others = [name for name in self._states if self.phase(name, now) is Phase.LIVE]
         return sorted([*others, self.me])
 
+    def served(self, now: float, seconds: float) -> list[str]:
+        """Neighbours that spoke within `seconds` and that the platform serves."""
+        return [
+            name
+            for name in self._neighbours
+            if now - self._states[name].heard_at <= seconds
+            and not self._states[name].store_lost
+            and self.phase(name, now) is Phase.LIVE
+        ]
+
     def silent(self, now: float) -> list[str]:
         """Neighbours not heard for so long that their told load is void."""
         return [
--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -26,7 +26,9 @@
     that the entries are relative to, 0 if the digest is full.
     `settings_total` and `settings_print` tell which settings are in force
     there, so that a peer that is behind can pull them.  `held` tells which
-    engines read which chats lately, as far as it is new.
+    engines read which chats lately, as far as it is new.  The versions tell
+    how new the platform's lists are there, 0 if that is not known, and
+    `store_lost` that the platform does not serve that box.
     """
 
     box: str
@@ -41,6 +43,9 @@
     base: int = 0
     ack: int = 0
     held: tuple[Holding, ...] = ()
+    engines_version: int = 0
+    boxes_version: int = 0
+    store_lost: bool = False
 
     @property
     def full(self) -> bool:
--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -70,6 +70,9 @@
         seq=digest.seq,
         base=digest.base,
         ack=digest.ack,
+        engines_version=digest.engines_version,
+        boxes_version=digest.boxes_version,
+        store_lost=digest.store_lost,
     )
     if digest.full:
         part.box = digest.box
@@ -156,6 +159,9 @@
             for chat, key in zip(part.held_chats, part.held_engines, strict=False)
             if (name := names.name(key))
         ),
+        part.engines_version,
+        part.boxes_version,
+        part.store_lost,
     )
 
 
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future
+from dataclasses import replace
 
 from seamhold_membership import Digest
 from seamhold_messages.errors import CallerLeft
@@ -55,8 +56,14 @@
         self._engines_version = 0
         self._boxes_version = 0
         self._events_taken = 0
+        #: Whether this box is one that watches the platform's store.
+        self.follows_store = True
+        #: Set by the task that watches: the platform does not serve this box.
+        self.store_lost = False
         #: Set when there is an exception that peers should hear at once.
         self.urgent = threading.Event()
+        #: Told of each new list of boxes, wherever it comes from.
+        self.on_boxes: Callable[[list[Box]], None] | None = None
         self.engines_listed = threading.Event()
         self.boxes_listed = threading.Event()
         self.handlers = {
@@ -85,6 +92,7 @@
         """Let time pass in the routing state."""
         now = self._clock()
         self._next_tick = now + TICK_SECONDS
+        self._note_role(self._router.follows_store(now))
         self._deliver(self._router.tick(now))
 
     def _deliver(self, decisions: list[Decision]) -> None:
@@ -99,6 +107,16 @@
         if now >= self._next_tick:
             self.idle()
 
+    def _note_role(self, follows: bool) -> None:
+        if follows != self.follows_store:
+            self.follows_store = follows
+            self.log.info('watch_role.changed', watches=follows)
+
+    @property
+    def list_versions(self) -> tuple[int, int]:
+        """The platform's revisions of the lists of engines and of boxes."""
+        return self._engines_version, self._boxes_version
+
     def _note_events(self) -> None:
         beliefs, self._router.beliefs = self._router.beliefs, []
         for belief in beliefs:
@@ -158,6 +176,8 @@
         self._me = [box for box in message.boxes if box.name == self._router.box]
         self.boxes_listed.set()
         self._router.set_boxes(message.boxes, self._clock())
+        if self.on_boxes is not None:
+            self.on_boxes(message.boxes)
 
     def _lists(self, _: WantLists) -> FleetLists:
         engines = self._router.engines.listed()
@@ -168,9 +188,15 @@
         self._deliver(self._router.hear(message.digest, self._clock()))
 
     def _digest(self, message: WantDigest) -> Digest:
-        return self._router.digest_for(
+        digest = self._router.digest_for(
             message.peer, message.settings_total, message.settings_print, self._clock()
         )
+        return replace(
+            digest,
+            engines_version=self._engines_version,
+            boxes_version=self._boxes_version,
+            store_lost=self.store_lost,
+        )
 
     def _digest_sent(self, message: DigestSent) -> None:
         self._router.digest_sent(message.digest)
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -75,6 +75,7 @@
     kind: ObjectKind
     watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
+    not_watching_seconds = NOT_WATCHING_SECONDS
 
     def __init__(self, platform: ObjectStore, metrics: Metrics, chance: random.Random):
         self.platform = platform
@@ -114,7 +115,7 @@
         pause = RETRY_SECONDS
         while not self._stopped.is_set():
             if not self.wanted():
-                self._stopped.wait(NOT_WATCHING_SECONDS)
+                self._stopped.wait(self.not_watching_seconds)
                 continue
             try:
                 self._follow()
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -28,7 +28,7 @@
 from ..status import ExitStatus
 from .backends import BackendConnections
 from .entry import ForwardingEntry, ForwardingServer
-from .followers import TreeFollower, VersionedListFollower
+from .followers import StoreWatch, TreeFollower, VersionedListFollower
 from .peer_handler import ForwardingPeerHandler
 from .registration import Registration
 from .reports import Reports, ReportServer
@@ -68,6 +68,7 @@
             clock,
             lambda: self.peering.roster.live_boxes,
         )
+        self.decider.on_boxes = self._boxes_changed
         self.gate = Gate(config.threads)
         self.entry = ForwardingEntry(
             dialect.callers, self.runner, self.gate, environment, self.metrics, self._has_state
@@ -80,10 +81,12 @@
         self.report_server = ReportServer(config.operator_listen, reports)
 
     def _followers(self, chance: random.Random) -> list:
+        watch = StoreWatch(self.decider, self._has_state)
         tree = TreeFollower(
             self.store,
             self.metrics,
             chance,
+            watch,
             self.keeper,
             self.dialect.tree,
             self.config.fleet_defaults(),
@@ -93,6 +96,7 @@
             self.store,
             self.metrics,
             chance,
+            watch,
             self.dialect.engine,
             self._engines_changed,
             self.peering.ask_for_lists,
@@ -102,8 +106,9 @@
             self.store,
             self.metrics,
             chance,
+            watch,
             self.dialect.box,
-            self._boxes_changed,
+            lambda boxes, version: self.decider.send(SetBoxes(boxes, version)),
             self.peering.ask_for_lists,
             BOXES_WATCH_SECONDS,
         )
@@ -122,9 +127,8 @@
     def _engines_changed(self, engines: list[Engine], version: int) -> None:
         self.decider.send(SetEngines(engines, version))
 
-    def _boxes_changed(self, boxes: list[Box], version: int) -> None:
+    def _boxes_changed(self, boxes: list[Box]) -> None:
         self.budgets.boxes = len(boxes)
-        self.decider.send(SetBoxes(boxes, version))
         self.registration.boxes_changed(boxes)
         self.peering.boxes_changed()
 
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -11,6 +11,7 @@
 from seamhold_settings import Candidate, Step
 from seamhold_settings.tree import TREE_OBJECT, without_unsound_routes
 
+from ..decider import Decider
 from ..follower import OFFER_SECONDS, Follower, ListFollower
 from ..keeper import Offer, SettingsKeeper
 from ..metrics import Metrics
@@ -18,8 +19,31 @@
 
 #: Watches are short: a connection that was cut off silently is noticed by
 #: nothing else.
-WATCH_SECONDS = 4.0
+WATCH_SECONDS = 3.0
 RETRY_MAX_SECONDS = 1.0
+#: How soon a box takes over a watch when it is its turn.
+NOT_WATCHING_SECONDS = 0.1
+
+
+class StoreWatch:
+    """Whether this box watches the store, and whether the store serves it."""
+
+    def __init__(self, decider: Decider, ready: Callable[[], bool]):
+        self._decider = decider
+        self._ready = ready
+
+    def wanted(self) -> bool:
+        """A watcher watches; so does a box that lacks something, or lost the store."""
+        decider = self._decider
+        return decider.follows_store or decider.store_lost or not self._ready()
+
+    def lost(self) -> None:
+        """A call to the store failed."""
+        self._decider.store_lost = True
+
+    def regained(self) -> None:
+        """The store answered."""
+        self._decider.store_lost = False
 
 
 class TreeFollower(Follower):
@@ -32,23 +56,35 @@
     kind = ObjectKind.SETTINGS
     watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
+    not_watching_seconds = NOT_WATCHING_SECONDS
 
     def __init__(
         self,
         store: ObjectStore,
         metrics: Metrics,
         chance: random.Random,
+        watch: StoreWatch,
         keeper: SettingsKeeper,
         read: Callable[[PlatformObject], dict],
         defaults: dict,
     ):
         super().__init__(store, metrics, chance)
+        self._watch = watch
         self._keeper = keeper
         self._read = read
         self._defaults = defaults
 
+    def wanted(self) -> bool:
+        """Whether it is this box's turn."""
+        return self._watch.wanted()
+
+    def unreachable(self) -> None:
+        """The store does not serve this box."""
+        self._watch.lost()
+
     def listed(self, objects: list[PlatformObject]) -> None:
         """Offer the tree as it stands."""
+        self._watch.regained()
         for item in objects:
             self._offer(item)
 
@@ -82,6 +118,7 @@
     """
 
     retry_max_seconds = RETRY_MAX_SECONDS
+    not_watching_seconds = NOT_WATCHING_SECONDS
 
     def __init__(
         self,
@@ -89,6 +126,7 @@
         store: ObjectStore,
         metrics: Metrics,
         chance: random.Random,
+        watch: StoreWatch,
         read: Callable[[PlatformObject], object],
         deliver: Callable[[list, int], None],
         ask_boxes: Callable[[], None],
@@ -96,9 +134,14 @@
     ):
         super().__init__(kind, store, metrics, chance, read, self._deliver_versioned)
         self.watch_seconds = watch_seconds
+        self._watch = watch
         self._deliver_to = deliver
         self._ask_boxes = ask_boxes
 
+    def wanted(self) -> bool:
+        """Whether it is this box's turn."""
+        return self._watch.wanted()
+
     def _deliver_versioned(self, items: list) -> None:
         self._deliver_to(items, int(self.version))
 
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -73,7 +73,8 @@
         self._others: dict[str, PeerClient] = {}
         self._port: DigestPort | None = None
         self._pulling: set[str] = set()
-        self._told_total = 0
+        self._pulling_lists = False
+        self._told_versions = (0, 0, 0)
         self._pulls: set[asyncio.Task] = set()
         self.loop = asyncio.new_event_loop()
         self._handler: PeerHandler | None = None
@@ -155,9 +156,9 @@
 
     def _urgent(self) -> bool:
         """Whether something new must be told now; asking forgets it."""
-        total = self._keeper.snapshot.total
-        changed = total != self._told_total
-        self._told_total = total
+        versions = (self._keeper.snapshot.total, *self._decider.list_versions)
+        changed = versions != self._told_versions
+        self._told_versions = versions
         if self._decider.urgent.is_set():
             self._decider.urgent.clear()
             return True
@@ -288,12 +289,31 @@
     def _heard(self, digest: Digest) -> None:
         """A peer told its state: pass it on, and see about the settings."""
         self._decider.send(Hear(digest))
-        task = self.loop.create_task(
+        self._in_background(
             self._compare_settings(digest.box, digest.settings_total, digest.settings_print)
         )
+        engines, boxes = self._decider.list_versions
+        if digest.engines_version > engines or digest.boxes_version > boxes:
+            self._in_background(self._pull_lists_of(digest.box))
+
+    def _in_background(self, work: Coroutine) -> None:
+        task = self.loop.create_task(work)
         self._pulls.add(task)
         task.add_done_callback(self._pulls.discard)
 
+    async def _pull_lists_of(self, box: str) -> None:
+        """Pull from a peer that has newer lists than this box."""
+        client = self._clients.get(box)
+        if client is None or self._pulling_lists:
+            return
+        self._pulling_lists = True
+        try:
+            await self._pull_lists(client)
+        except BROKEN:
+            self._metrics.count('lists.pull_failed')
+        finally:
+            self._pulling_lists = False
+
     def tell_leaving(self) -> None:
         """Tell every peer now that this box is stopping."""
         self._decider.send(Leaving())
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -23,6 +23,7 @@
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
 from seamhold_placement import BoundPolicy, Chooser, HolderTable, LoadTable, choose
+from seamhold_placement.rank import owners
 from seamhold_settings import Tree
 from seamhold_settings.resolve import DEFAULTS
 
@@ -31,6 +32,11 @@
 #: Events that one digest carries at most.
 EVENTS_PER_DIGEST = 8
 NO_ENGINE_RETRY_SECONDS = 1.0
+#: Boxes among neighbours that watch the platform's store for all of them.
+WATCHERS = 3
+WATCHERS_KEY = 'store-watchers'
+#: A watcher that is not heard for so long is taken to watch no more.
+WATCHER_SILENT_SECONDS = 1.0
 #: Who told a belief that comes from the platform's list.
 LIST_SOURCE = 'list'
 #: What an event makes of its subject.
@@ -154,7 +160,7 @@
 
     def hear(self, digest: Digest, now: float) -> list[Decision]:
         """A peer told its state; calls that waited may now have a place."""
-        if self.boxes.heard(digest.box, digest.incarnation, now):
+        if self.boxes.heard(digest.box, digest.incarnation, now, digest.store_lost):
             self._sender.forget(digest.box)
             self.limits.peer_forgot(digest.box)
         self._sender.heard(digest.box, digest.ack)
@@ -375,6 +381,15 @@
                 self.counts['placed.spilled' if decision.spilled else 'placed.first'] += 1
         return decisions
 
+    def follows_store(self, now: float) -> bool:
+        """Whether this box is one of the few that watch the platform's store.
+
+        It is if it ranks among the first of its neighbours that are heard
+        and served; those that fall silent are replaced within a second.
+        """
+        served = [*self.boxes.served(now, WATCHER_SILENT_SECONDS), self.box]
+        return self.box in owners(WATCHERS_KEY, served, WATCHERS)
+
     # What the box tells.
 
     def digest_for(self, peer: str, settings_total: int, settings_print: int, now: float) -> Digest:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,6 +3,7 @@
 import io
 import socket
 import threading
+from dataclasses import replace
 
 import testtools
 from hypothesis import given
@@ -15,7 +16,7 @@
 from seamhold.forwarding.heads import StrictHeaderReader, end_to_end
 from seamhold.ports import Cancellation, PromptPart
 from seamhold_messages.errors import ERRORS_BY_CODE, EngineRefused, NoEngine, Ran
-from seamhold_messages.fleet import Engine, Phase
+from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Placed, Work
 from seamhold_placement import HolderTable
 from seamhold_routing import Router
@@ -259,3 +260,50 @@
         parts = (PromptPart('a', 500), PromptPart('b', 9000), PromptPart('own', 100))
         self.assertEqual('b', shared_part(parts).id)
         self.assertIsNone(shared_part(()))
+
+
+class TestStoreWatchers(testtools.TestCase):
+    """Few boxes watch the store, and those that fall away are replaced at once."""
+
+    NAMES = tuple(f'box-{number}' for number in range(8))
+
+    def setUp(self):
+        super().setUp()
+        self.routers = {name: Router(name, 'x') for name in self.NAMES}
+        for router in self.routers.values():
+            router.set_boxes([Box(name, f'{name}:1') for name in self.NAMES], 0.0)
+
+    def talk(self, now: float, silent: tuple = (), lost: tuple = ()) -> None:
+        for speaker in self.NAMES:
+            for hearer in self.NAMES:
+                if speaker != hearer and speaker not in silent:
+                    digest = self.routers[speaker].digest_for(hearer, 0, 0, now)
+                    digest = replace(digest, store_lost=speaker in lost)
+                    self.routers[hearer].hear(digest, now)
+
+    def watchers(self, now: float, silent: tuple = ()) -> set[str]:
+        return {
+            name
+            for name, router in self.routers.items()
+            if name not in silent and router.follows_store(now)
+        }
+
+    def test_three_watch(self):
+        self.talk(0.1)
+        self.assertEqual(3, len(self.watchers(0.2)))
+
+    def test_watchers_that_fall_silent_are_replaced_within_a_second(self):
+        self.talk(0.1)
+        dead = tuple(self.watchers(0.2))
+        for tenths in range(2, 14):
+            self.talk(tenths / 10, silent=dead)
+        self.assertEqual(3, len(self.watchers(1.3, silent=dead)))
+
+    def test_watchers_that_the_store_turns_away_are_replaced(self):
+        self.talk(0.1)
+        lost = tuple(self.watchers(0.2))
+        self.talk(0.3, lost=lost)
+        self.assertEqual(3, len(self.watchers(0.4) - set(lost)))
+
+    def test_a_box_that_hears_nobody_watches(self):
+        self.assertEqual(set(self.NAMES), self.watchers(5.0))
