A box that starts learns from a peer what engines hold; near engines among equals

Cause: after a restart a box placed by rank alone, while its peers knew which engines had read what; calls that reuse nothing crossed failure domains.

--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -4,19 +4,22 @@
 
 from seamhold_messages.errors import SeamholdError
 from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.work import Holding
 
 
 @dataclass(frozen=True, slots=True)
 class FleetLists:
     """The platform's lists as a box last saw them, and at which revision.
 
-    A version of 0 means that the platform does not tell one.
+    A version of 0 means that the platform does not tell one.  `held` tells
+    which engines have read which chats, if that was asked for.
     """
 
     engines: list[Engine]
     boxes: list[Box]
     engines_version: int = 0
     boxes_version: int = 0
+    held: tuple[Holding, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -35,10 +35,13 @@
             page = await self._stub.PullSettings(pb.SettingsKnown(revisions=known))
         return [codec.decode_candidate(item) for item in page.objects]
 
-    async def pull_lists(self) -> FleetLists:
-        """The platform's lists as the peer saw them; raises one of BROKEN."""
+    async def pull_lists(self, holdings: bool = False) -> FleetLists:
+        """The platform's lists as the peer saw them; raises one of BROKEN.
+
+        With `holdings` also which engines the peer takes to hold which chats.
+        """
         async with asyncio.timeout(PULL_SECONDS):
-            return codec.decode_lists(await self._stub.PullLists(pb.ListsWanted()))
+            return codec.decode_lists(await self._stub.PullLists(pb.ListsWanted(holdings=holdings)))
 
     async def relay(self, call: RelayedCall) -> AsyncIterator[AnswerPart]:
         """Pass a call to the box that holds its ticket.
--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -190,6 +190,8 @@
 
 def encode_lists(lists: FleetLists) -> pb.Lists:
     """The platform's lists as they travel."""
+    names = sorted({holding.engine for holding in lists.held})
+    places = {name: place for place, name in enumerate(names)}
     return pb.Lists(
         engines=[
             pb.ListedEngine(
@@ -215,6 +217,9 @@
         ],
         engines_version=lists.engines_version,
         boxes_version=lists.boxes_version,
+        held_chats=[holding.chat for holding in lists.held],
+        held_engines=names,
+        held_by=[places[holding.engine] for holding in lists.held],
     )
 
 
@@ -237,7 +242,13 @@
         Box(item.name, item.peer_address, item.failure_domain, '', Phase(item.phase))
         for item in lists.boxes
     ]
-    return FleetLists(engines, boxes, lists.engines_version, lists.boxes_version)
+    names = list(lists.held_engines)
+    held = tuple(
+        Holding(chat, names[place])
+        for chat, place in zip(lists.held_chats, lists.held_by, strict=False)
+        if place < len(names)
+    )
+    return FleetLists(engines, boxes, lists.engines_version, lists.boxes_version, held)
 
 
 def encode_headers(headers: Iterable[Header]) -> list[pb.Header]:
--- a/packages/peers/seamhold_peers/server.py
+++ b/packages/peers/seamhold_peers/server.py
@@ -23,8 +23,8 @@
     async def newer_settings(self, known: dict[str, int]) -> list[Candidate]:
         """Objects in force here that are ahead of `known`."""
 
-    async def lists(self) -> FleetLists:
-        """The platform's lists as this box last saw them."""
+    async def lists(self, holdings: bool) -> FleetLists:
+        """The platform's lists as this box last saw them, with holdings if wanted."""
 
     def relayed(self, call: RelayedCall) -> AsyncIterator[AnswerPart]:
         """A call whose ticket this box may hold."""
@@ -48,8 +48,9 @@
 
     async def PullLists(self, stream) -> None:
         """The lists, for a box that cannot read them itself."""
-        await stream.recv_message()
-        await stream.send_message(codec.encode_lists(await self._handler.lists()))
+        wanted = await stream.recv_message()
+        lists = await self._handler.lists(wanted.holdings)
+        await stream.send_message(codec.encode_lists(lists))
 
     async def Dispatch(self, stream) -> None:
         """Run a ticketed call and pass its answer back as it comes."""
--- a/packages/placement/seamhold_placement/holders.py
+++ b/packages/placement/seamhold_placement/holders.py
@@ -54,6 +54,15 @@
             return []
         return [engine for engine, until in held.items() if until > now]
 
+    def all(self, now: float) -> tuple[Holding, ...]:
+        """Every holding that is still taken to be true, for a box that just started."""
+        return tuple(
+            Holding(chat, engine)
+            for chat, held in self._chats.items()
+            for engine, until in held.items()
+            if until > now
+        )
+
     def news(self, now: float) -> tuple[Holding, ...]:
         """What is new here and should be told now."""
         while self._news and self._news[0][0] < now - TELL_SECONDS:
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -28,6 +28,7 @@
     EngineLeaving,
     EngineReport,
     Hear,
+    HearHoldings,
     Leaving,
     SetBoxes,
     SetEngines,
@@ -77,6 +78,7 @@
             SetEngines: self._set_engines,
             SetBoxes: self._set_boxes,
             WantLists: self._lists,
+            HearHoldings: self._hear_holdings,
             Hear: self._hear,
             WantDigest: self._digest,
             DigestSent: self._digest_sent,
@@ -179,10 +181,14 @@
         if self.on_boxes is not None:
             self.on_boxes(message.boxes)
 
-    def _lists(self, _: WantLists) -> FleetLists:
+    def _hear_holdings(self, message: HearHoldings) -> None:
+        self._router.holders.heard(message.held, self._clock())
+
+    def _lists(self, message: WantLists) -> FleetLists:
         engines = self._router.engines.listed()
         boxes = [*self._router.boxes.peers(), *self._me]
-        return FleetLists(engines, boxes, self._engines_version, self._boxes_version)
+        held = self._router.holders.all(self._clock()) if message.holdings else ()
+        return FleetLists(engines, boxes, self._engines_version, self._boxes_version, held)
 
     def _hear(self, message: Hear) -> None:
         self._deliver(self._router.hear(message.digest, self._clock()))
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -5,7 +5,7 @@
 from seamhold_attempts.retry import Outcome
 from seamhold_membership import Digest
 from seamhold_messages.fleet import Box, Engine, Phase
-from seamhold_messages.work import Call
+from seamhold_messages.work import Call, Holding
 from seamhold_settings import Tree
 
 from .tasks import Ask
@@ -89,6 +89,15 @@
 class WantLists(Ask):
     """Asks for the platform's lists as last seen, as FleetLists."""
 
+    holdings: bool = False
+
+
+@dataclass(slots=True)
+class HearHoldings:
+    """A peer told which engines have read which chats."""
+
+    held: tuple[Holding, ...]
+
 
 @dataclass(slots=True)
 class Hear:
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -54,7 +54,8 @@
         chance = random.Random(self.incarnation)
         clock = environment.monotonic
         self.store = dialect.store(config.platform_url)
-        self.decider = Decider(Router(config.box, self.incarnation), clock)
+        router = Router(config.box, self.incarnation, failure_domain=config.failure_domain)
+        self.decider = Decider(router, clock)
         self.keeper = SettingsKeeper(self.metrics, self._settings_changed)
         self.budgets = RetryBudgets(clock)
         self.backends = BackendConnections(dialect.backends, clock)
--- a/packages/router/seamhold/peer_handler.py
+++ b/packages/router/seamhold/peer_handler.py
@@ -46,9 +46,9 @@
         """Objects in force here that are ahead of `known`."""
         return await asyncio.wrap_future(self._keeper.ask(WantNewer(known)))
 
-    async def lists(self) -> FleetLists:
+    async def lists(self, holdings: bool) -> FleetLists:
         """The platform's lists as this box last saw them."""
-        return await asyncio.wrap_future(self._decider.ask(WantLists()))
+        return await asyncio.wrap_future(self._decider.ask(WantLists(holdings)))
 
     async def claim(self, ask: ClaimAsk) -> ClaimState:
         """Write a claim for a peer."""
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -28,6 +28,7 @@
     DeciderReport,
     DigestSent,
     Hear,
+    HearHoldings,
     Leaving,
     SetBoxes,
     SetEngines,
@@ -74,6 +75,7 @@
         self._port: DigestPort | None = None
         self._pulling: set[str] = set()
         self._pulling_lists = False
+        self._holdings_asked = False
         self._told_versions = (0, 0, 0)
         self._pulls: set[asyncio.Task] = set()
         self.loop = asyncio.new_event_loop()
@@ -205,6 +207,8 @@
         self.budget.rate = self._keeper.snapshot.tree.fleet.control.control_bytes_per_second
         if not self.ready:
             await self._pull_from_anyone()
+        elif self._clients and not self._holdings_asked:
+            await self._pull_lists_from_peer()
 
     def _connect(self, wanted: dict[str, str]) -> None:
         for name, client in list(self._others.items()):
@@ -237,7 +241,10 @@
 
     async def _pull_lists(self, client: PeerClient) -> None:
         """Take a peer's lists where this box has none, or older ones."""
-        lists = await client.pull_lists()
+        lists = await client.pull_lists(holdings=not self._holdings_asked)
+        self._holdings_asked = True
+        if lists.held:
+            self._decider.send(HearHoldings(lists.held))
         if lists.boxes_version or not self._decider.boxes_listed.is_set():
             self._decider.send(SetBoxes(lists.boxes, lists.boxes_version))
         if lists.engines_version or not self._decider.engines_listed.is_set():
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -76,7 +76,8 @@
     """What one box knows and decides.
 
     `loads` and `chooser` are for those who embed it with another source of
-    load or another rule; the daemon uses what is built in.
+    load or another rule; the daemon uses what is built in.  Among engines of
+    equal load, calls that reuse nothing go to one of `failure_domain`.
     """
 
     def __init__(
@@ -85,8 +86,10 @@
         incarnation: str,
         loads: LoadTable | None = None,
         chooser: Chooser = choose,
+        failure_domain: str = '',
     ):
         self.box = box
+        self.failure_domain = failure_domain
         self.incarnation = incarnation
         self.leaving = False
         self.counts: Counter[str] = Counter()
@@ -246,7 +249,14 @@
     def _service(self, name: str) -> ServiceRouter:
         service = self._services.get(name)
         if service is None:
-            service = ServiceRouter(name, self.engines, self.loads, self.holders, self._chooser)
+            service = ServiceRouter(
+                name,
+                self.engines,
+                self.loads,
+                self.holders,
+                self._chooser,
+                self.failure_domain,
+            )
             service.use_plan(self._plan(name))
             self._services[name] = service
         return service
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -108,6 +108,7 @@
         loads: LoadTable,
         holders: HolderTable,
         chooser: Chooser = choose,
+        failure_domain: str = '',
     ):
         self.name = name
         self.plan = ServicePlan()
@@ -118,6 +119,7 @@
         self._loads = loads
         self._holders = holders
         self._chooser = chooser
+        self._failure_domain = failure_domain
         self._ranking = Ranking()
         self._serving: Serving | None = None
         self._weight = 0.0
@@ -157,7 +159,8 @@
         if call.sticky:
             choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
         else:
-            choice = choose_least_loaded(candidates, totals, call.work)
+            nearest_first = sorted(candidates, key=lambda engine: not self._near(engine, serving))
+            choice = choose_least_loaded(nearest_first, totals, call.work)
         if choice is None:
             return None
         engine = serving.engines[choice.name]
@@ -177,6 +180,10 @@
             round(mean, 2),
         )
 
+    def _near(self, engine: Candidate, serving: Serving) -> bool:
+        """Whether an engine is in this box's failure domain."""
+        return serving.engines[engine.name].failure_domain == self._failure_domain
+
     @staticmethod
     def _other_holder(holders: list[str], chosen: str, serving: Serving) -> str:
         """The address of an engine that `chosen` may fetch from, '' if it holds all."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -18,6 +18,8 @@
 from seamhold_messages.errors import ERRORS_BY_CODE, EngineRefused, NoEngine, Ran
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Placed, Work
+from seamhold_peers import FleetLists
+from seamhold_peers.codec import decode_lists, encode_lists
 from seamhold_placement import HolderTable
 from seamhold_routing import Router
 from seamhold_settings import Candidate, InForce, Step, Tree
@@ -240,6 +242,14 @@
         again = self.place(router, 3, 1.1)
         self.assertEqual((rest[0], ''), (again.engine, again.fetch_from))
 
+    def test_a_box_that_starts_anew_learns_all_from_a_peer(self):
+        old, new = Router('old', 'x'), Router('new', 'y')
+        old.set_engines(self.engines('e1', 'e2', 'e3'), 0.0)
+        placed = {chat: self.place(old, 1, 0.0, chat).engine for chat in map(str, range(50))}
+        told = FleetLists([], [], 1, 1, old.holders.all(20.0))
+        new.holders.heard(decode_lists(encode_lists(told)).held, 20.0)
+        self.assertEqual(placed, {chat: new.holders.of(chat, 20.0)[0] for chat in placed})
+
     def test_news_is_told_for_a_while_and_only_once_by_its_box(self):
         holders = HolderTable()
         holders.placed('chat', 'e1', 0.0)
@@ -256,6 +266,15 @@
         loads = [router.loads.estimate(name).requests for name in ('e1', 'e2', 'e3')]
         self.assertEqual([3, 3, 3], loads)
 
+    def test_among_equal_loads_the_own_failure_domain_goes_first(self):
+        router = Router('box', 'x', failure_domain='here')
+        near = Engine('near', 'llm', 'n:80', 'here', incarnation='near')
+        far = Engine('far', 'llm', 'f:80', 'there', incarnation='far')
+        router.set_engines([far, near], 0.0)
+        calls = [Call(f'n{i}', 'w', 'llm', f'n{i}', Work(1, 1), 10.0, sticky=False) for i in '12']
+        went = [router.admit(call, 0.0)[0].engine for call in calls]
+        self.assertEqual(['near', 'far'], went)
+
     def test_placement_goes_by_the_last_shared_part(self):
         parts = (PromptPart('a', 500), PromptPart('b', 9000), PromptPart('own', 100))
         self.assertEqual('b', shared_part(parts).id)
