--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -165,14 +165,14 @@
         self._router.use_settings(message.tree)
 
     def _set_engines(self, message: SetEngines) -> None:
-        if 0 < message.version < self._engines_version:
+        if self.engines_listed.is_set() and 0 < message.version <= self._engines_version:
             return
         self._engines_version = message.version
         self.engines_listed.set()
         self._deliver(self._router.set_engines(message.engines, self._clock()))
 
     def _set_boxes(self, message: SetBoxes) -> None:
-        if 0 < message.version < self._boxes_version:
+        if self.boxes_listed.is_set() and 0 < message.version <= self._boxes_version:
             return
         self._boxes_version = message.version
         self._me = [box for box in message.boxes if box.name == self._router.box]
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -67,7 +67,7 @@
 class SetEngines:
     """The platform's list of engines, as it stood at `version`.
 
-    A list older than the one in use is passed over; 0 is always taken.
+    One that is not newer than the list in use is passed over; 0 is always taken.
     """
 
     engines: list[Engine]
@@ -78,7 +78,7 @@
 class SetBoxes:
     """The platform's list of boxes, as it stood at `version`.
 
-    A list older than the one in use is passed over; 0 is always taken.
+    One that is not newer than the list in use is passed over; 0 is always taken.
     """
 
     boxes: list[Box]
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -75,6 +75,7 @@
         self._port: DigestPort | None = None
         self._pulling: set[str] = set()
         self._pulling_lists = False
+        self._pulling_all = False
         self._holdings_asked = False
         self._told_versions = (0, 0, 0)
         self._pulls: set[asyncio.Task] = set()
@@ -225,6 +226,15 @@
 
     async def _pull_from_anyone(self) -> None:
         """A box that starts in an outage takes the settings from peers."""
+        if self._pulling_all:
+            return
+        self._pulling_all = True
+        try:
+            await self._pull_from_each()
+        finally:
+            self._pulling_all = False
+
+    async def _pull_from_each(self) -> None:
         listed = (box.peer_address for box in self.roster.boxes)
         addresses = {*self._config.seed_peers, *listed} - {self._config.peer_listen}
         for address in sorted(addresses):
@@ -241,6 +251,7 @@
 
     async def _pull_lists(self, client: PeerClient) -> None:
         """Take a peer's lists where this box has none, or older ones."""
+        self._metrics.count('lists.pulls')
         lists = await client.pull_lists(holdings=not self._holdings_asked)
         self._holdings_asked = True
         if lists.held:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -9,6 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from seamhold.decider import Decider
+from seamhold.decisions import SetBoxes, WantReport
 from seamhold.forwarding.caller_watch import CallerWatch
 from seamhold.forwarding.calls import shared_part
 from seamhold.forwarding.entry import told_status
@@ -326,3 +328,15 @@
 
     def test_a_box_that_hears_nobody_watches(self):
         self.assertEqual(set(self.NAMES), self.watchers(5.0))
+
+    def test_a_list_that_is_known_is_not_news(self):
+        decider = Decider(Router('box-0', 'x'), lambda: 0.0)
+        told = []
+        decider.on_boxes = told.append
+        decider.start()
+        self.addCleanup(decider.stop)
+        boxes = [Box('box-0', 'a:1'), Box('box-1', 'b:1')]
+        for version in (5, 5, 4, 6):
+            decider.send(SetBoxes(boxes, version))
+        decider.ask(WantReport()).result(5)
+        self.assertEqual(2, len(told))
