A box that stops closes idle connections before it refuses anything

Change: 0.8 s before the gate closes idle connections are let expire by cheroot's own task; the callers connect anew, elsewhere.

--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -38,6 +38,8 @@
 SPARE_THREADS = 4
 POLL_SECONDS = 0.05
 STATUS_SECONDS = 1.0
+#: The last part of the grace in which idle connections are closed.
+IDLE_CLOSE_SECONDS = 0.8
 
 
 class ForwardingBox:
@@ -188,8 +190,12 @@
         while not self._stopping.wait(1.0):
             pass
         self.peering.tell_leaving()
-        # The balancer needs a moment to see that this box is not ready.
-        self.environment.sleep(self.config.drain_grace)
+        # The balancer needs a moment to see that this box is not ready; then
+        # callers that keep connections are sent away while nothing is refused.
+        closing = min(IDLE_CLOSE_SECONDS, self.config.drain_grace)
+        self.environment.sleep(self.config.drain_grace - closing)
+        self.server.expire_idle()
+        self.environment.sleep(closing)
         self.gate.close()
         ends = self.environment.monotonic() + self.config.drain_limit
         while not self.gate.wait_empty(POLL_SECONDS) and self.environment.monotonic() < ends:
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -317,6 +317,16 @@
         self.request_queue_size = ACCEPT_QUEUE
         self.answer = answer
 
+    def expire_idle(self) -> None:
+        """Close the connections on which no request waits or runs.
+
+        cheroot's own task closes them at its next look, within half a second;
+        one that brings a request before is served.
+        """
+        for _, connection in list(self._connections._selector.connections):
+            if connection is not self:
+                connection.last_used = 0.0
+
     def error_log(self, msg='', level=20, traceback=False):
         """What ends here is a caller's broken connection."""
 
