--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -1,7 +1,7 @@
 """Every way a call or an operation can fail, each with a stable code.
 
 A code never changes its meaning once released: callers and operators match
-on it.  `docs/OPERATORS.md` lists what to do about each.
+on it.  `docs/OPERATIONS.md` lists what to do about each.
 """
 
 from enum import StrEnum
