--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -155,6 +155,10 @@
         """Every engine as the platform listed it."""
         return [state.engine for state in self._states.values()]
 
+    def phases(self, now: float) -> dict[str, Phase]:
+        """The phase this box gives each listed engine."""
+        return {name: self.phase(name, now) for name in self._states}
+
     def all(self, now: float) -> list[Engine]:
         """Every listed engine with the phase this box gives it."""
         return [
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -75,6 +75,7 @@
         try:
             self._gate.enter()
         except SeamholdError as error:
+            exchange.request_id = self._request_id(request)
             self._refuse(exchange, None, error, began)
             return
         try:
@@ -105,6 +106,13 @@
         else:
             self._note_end(exchange, job, began)
 
+    def _request_id(self, request: HTTPRequest) -> str:
+        """The id of a request that is refused unread, '' if it cannot be told."""
+        try:
+            return self._dialect.read(read_head(request).by_name).request_id
+        except SeamholdError:
+            return ''
+
     def _run(self, exchange: '_Exchange', job: Job) -> None:
         connection = exchange.request.conn.socket
         self.watch.add(connection, job.cancellation)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -22,12 +22,12 @@
 from seamhold_messages.errors import NoEngine, SeamholdError
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
-from seamhold_placement import BoundPolicy, Chooser, HolderTable, LoadTable, choose
+from seamhold_placement import Chooser, HolderTable, LoadTable, choose
 from seamhold_placement.rank import owners
 from seamhold_settings import Tree
-from seamhold_settings.resolve import DEFAULTS
 
-from .service import ServicePlan, ServiceRouter
+from .beliefs import Belief, belief_from, changes
+from .service import ServiceRouter, plan_for
 
 #: Events that one digest carries at most.
 EVENTS_PER_DIGEST = 8
@@ -37,15 +37,6 @@
 WATCHERS_KEY = 'store-watchers'
 #: A watcher that is not heard for so long is taken to watch no more.
 WATCHER_SILENT_SECONDS = 1.0
-#: Who told a belief that comes from the platform's list.
-LIST_SOURCE = 'list'
-#: What an event makes of its subject.
-EVENT_PHASES = {
-    EventKind.ENGINE_LEAVING: Phase.LEAVING,
-    EventKind.ENGINE_FAILING: Phase.SUSPECT,
-    EventKind.BOX_LEAVING: Phase.LEAVING,
-    EventKind.BOX_GONE: Phase.GONE,
-}
 #: What each way for a call to fail says against its engine.  A connection that
 #: is refused is proof; answers are lost, and calls fail, on good engines too.
 EVIDENCE = {
@@ -56,15 +47,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Belief:
-    """What this box now takes an engine or a box to be, and by whose word."""
-
-    subject: str
-    phase: Phase
-    source: str
-
-
 @dataclass(slots=True)
 class _Active:
     call: Call
@@ -128,32 +110,13 @@
             }
         )
         for name, service in self._services.items():
-            service.use_plan(self._plan(name))
-
-    def _plan(self, service: str) -> ServicePlan:
-        placement = self.tree.fleet.placement
-        bound = BoundPolicy(
-            placement.admit_multiple, placement.floor_requests, placement.floor_tokens
-        )
-        offered = self.tree.fleet.services.get(service)
-        queue_calls = offered.policy.queue_calls if offered else None
-        if queue_calls is None:
-            queue_calls = self.tree.fleet.policy.queue_calls
-        if queue_calls is None:
-            queue_calls = DEFAULTS.queue_calls
-        return ServicePlan(bound, queue_calls, placement.patience)
+            service.use_plan(plan_for(self.tree, name))
 
     def set_engines(self, engines: list[Engine], now: float) -> list[Decision]:
         """Take over the platform's list of engines."""
-        before = {
-            engine.name: self.engines.phase(engine.name, now) for engine in self.engines.listed()
-        }
+        before = self.engines.phases(now)
         self.engines.set_list(engines, now)
-        after = {engine.name: self.engines.phase(engine.name, now) for engine in engines}
-        for name in before.keys() | after.keys():
-            phase = after.get(name, Phase.GONE)
-            if before.get(name, Phase.GONE) is not phase:
-                self.beliefs.append(Belief(name, phase, LIST_SOURCE))
+        self.beliefs += changes(before, self.engines.phases(now))
         return self._drain_queues(now)
 
     def set_boxes(self, boxes: list[Box], now: float) -> None:
@@ -183,7 +146,7 @@
         if not self.events.add(event, len(self.boxes.peers()) + 1):
             return
         self.counts[f'event.{event.kind.name.lower()}'] += 1
-        self.beliefs.append(Belief(event.subject, EVENT_PHASES[event.kind], event.origin))
+        self.beliefs.append(belief_from(event))
         if event.kind is EventKind.ENGINE_LEAVING:
             self.engines.leaving(event.subject, event.incarnation)
         elif event.kind is EventKind.ENGINE_FAILING:
@@ -257,7 +220,7 @@
                 self._chooser,
                 self.failure_domain,
             )
-            service.use_plan(self._plan(name))
+            service.use_plan(plan_for(self.tree, name))
             self._services[name] = service
         return service
 
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -18,6 +18,8 @@
     choose,
     choose_least_loaded,
 )
+from seamhold_settings import Tree
+from seamhold_settings.resolve import DEFAULTS
 
 #: Ranks among which a caller's hint may find an engine.
 HINT_RANKS = 5
@@ -36,6 +38,19 @@
     patience: float = 0.0
 
 
+def plan_for(tree: Tree, service: str) -> ServicePlan:
+    """What a tree says of placing the calls of `service`."""
+    placement = tree.fleet.placement
+    bound = BoundPolicy(placement.admit_multiple, placement.floor_requests, placement.floor_tokens)
+    offered = tree.fleet.services.get(service)
+    queue_calls = offered.policy.queue_calls if offered else None
+    if queue_calls is None:
+        queue_calls = tree.fleet.policy.queue_calls
+    if queue_calls is None:
+        queue_calls = DEFAULTS.queue_calls
+    return ServicePlan(bound, queue_calls, placement.patience)
+
+
 class RankedEngines(Sequence[Candidate]):
     """The engines for one chat, best first, worked out as they are read."""
 
