The scenario of two operators at once makes them meet

Cause: the scenario hoped that two command lines, each of which takes a second or more to start, would read within half a second of each other.

Ruled out: the conditional write (both writes stood, one on top of the other).

Change: the stand-in holds writes until two have come, so both operators have read before either writes; the check is the same.

--- a/scenarios/settings.feature
+++ b/scenarios/settings.feature
@@ -8,10 +8,9 @@
 
   Scenario: Two operators edit the same object at once
     Given 2 boxes and 1 engines
-    And the platform answers after 0.5 s
+    And the platform holds writes until 2 have come
     When two operators set "fleet.policy.deadline" at once to "31" and "32"
     Then one of them wins and the other sees a conflict
-    And the platform answers after 0 s
     And the winner's value is in force on every box
 
   Scenario: An edit whose answer is lost
--- a/scenarios/steps/fleet_steps.py
+++ b/scenarios/steps/fleet_steps.py
@@ -37,6 +37,11 @@
     context.world.fleet.faults('platform', slow=seconds)
 
 
+@step('the platform holds writes until {count:d} have come')
+def platform_gathers_writes(context, count):
+    context.world.fleet.faults('platform', gather_writes=count)
+
+
 @step('the platform loses the answers of {count:d} writes')
 def platform_loses(context, count):
     context.world.fleet.faults('platform', lose_answers=count)
--- a/standins/standins/platform.py
+++ b/standins/standins/platform.py
@@ -20,11 +20,17 @@
 HISTORY = 1000
 LAGGING_KINDS = ('boxes', 'engines')
 WATCH_STEP_SECONDS = 0.05
+#: Longest hold of a write; a writer waits a little longer for its answer.
+GATHER_SECONDS = 2.5
 
 
 @dataclass(frozen=True)
 class PlatformFaults:
-    """What can go wrong; times in seconds, rates in calls a second."""
+    """What can go wrong; times in seconds, rates in calls a second.
+
+    With `gather_writes` writes are held until so many have come, so that all
+    their writers have read before the first of them lands.
+    """
 
     down: bool = False
     slow: float = 0.0
@@ -33,6 +39,7 @@
     writes_per_second: int = 100
     reads_per_second: int = 2000
     frozen_watch: bool = False
+    gather_writes: int = 0
 
 
 class Store:
@@ -228,6 +235,7 @@
     def _write(self, create: bool) -> None:
         if self._broken('write'):
             return
+        self.server.gather_writes()
         kind, _, _ = self._route()
         status, value = self.server.store.write(kind, self.read_json(), create)
         if status < 300 and self.server.loses_answer():
@@ -244,6 +252,8 @@
         self.store = Store()
         self.counts: Counter[str] = Counter()
         self.waiting: Counter[str] = Counter()
+        self.gathered = threading.Condition()
+        self.held_writes = 0
         self._windows: dict[str, tuple[int, int]] = {}
 
     def within_rate(self, verb: str) -> bool:
@@ -258,6 +268,16 @@
             self._windows[group] = (second, count)
         return count <= cap
 
+    def gather_writes(self) -> None:
+        """Hold a write until as many have come as the faults say."""
+        wanted = self.faults.gather_writes
+        if not wanted:
+            return
+        with self.gathered:
+            self.held_writes += 1
+            self.gathered.notify_all()
+            self.gathered.wait_for(lambda: self.held_writes >= wanted, GATHER_SECONDS)
+
     def loses_answer(self) -> bool:
         """Whether this write's answer is to be lost."""
         with self.lock:
