A call is over when its last byte is written: a stopping box cut its last stream

The gate counted a call as over when the gateway returned; cheroot writes a stream's last chunk after that, and the process left at its last call.

Ruled out: the drain's time (2.6 s of it were left).

Change: the gate is left once cheroot's respond is through.

--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -77,9 +77,7 @@
             dialect.callers, self.runner, self.gate, environment, self.metrics, self._has_state
         )
         self.followers = self._followers(chance)
-        self.server = ForwardingServer(
-            config.listen, config.threads + SPARE_THREADS, self.entry.answer
-        )
+        self.server = ForwardingServer(config.listen, config.threads + SPARE_THREADS, self.entry)
         reports = Reports(dialect.ready_path, self._is_ready, self._status, self.metrics)
         self.report_server = ReportServer(config.operator_listen, reports)
 
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -78,9 +78,12 @@
             exchange.request_id = self._request_id(request)
             self._refuse(exchange, None, error, began)
             return
-        try:
-            self._answer(exchange, began)
-        finally:
+        request.in_gate = True
+        self._answer(exchange, began)
+
+    def written(self, request: 'ForwardingRequest') -> None:
+        """The last byte of an answer is out, or its connection is broken."""
+        if request.in_gate:
             self._gate.leave()
 
     def _answer(self, exchange: '_Exchange', began: float) -> None:
@@ -302,6 +305,15 @@
     """cheroot's request with the strict reader of headers."""
 
     header_reader = StrictHeaderReader()
+    #: Whether the gate counts it as a call in progress.
+    in_gate = False
+
+    def respond(self):
+        """Answer; cheroot writes the end of a stream after the gateway's part."""
+        try:
+            super().respond()
+        finally:
+            self.server.written(self)
 
 
 class ForwardingConnection(HTTPConnection):
@@ -317,13 +329,14 @@
     keep_alive_conn_limit = None
     shutdown_timeout = SHUTDOWN_SECONDS
 
-    def __init__(self, address: str, threads: int, answer: Callable[[HTTPRequest], None]):
+    def __init__(self, address: str, threads: int, entry: ForwardingEntry):
         split = split_address(address)
         super().__init__(
             (split.host, split.port), _EntryGateway, minthreads=threads, maxthreads=threads
         )
         self.request_queue_size = ACCEPT_QUEUE
-        self.answer = answer
+        self.answer = entry.answer
+        self.written = entry.written
 
     def expire_idle(self) -> None:
         """Close the connections on which no request waits or runs.
