A box that just started has one retry from its first moment on

The first call after the start met an engine that refused it (nothing ran), and the box said retry_budget_spent: its part of the fleet's reserve grew from zero over the window, so a box younger than about 0.25 to 0.4 s had less than one retry (part 80/3 over 10 s, one call's ratio 0.1). On a fast machine the scenario's first call comes that early.

Ruled out: engines that were not ready (the detail says the engine refused); the window (both boxes are new).

Change: a box has one retry at once, where its part is that large; the rest grows as before.

--- a/packages/attempts/seamhold_attempts/retry.py
+++ b/packages/attempts/seamhold_attempts/retry.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+#: Retries that a box has from its first moment on, if its part is as large.
+STARTING_RETRIES = 1.0
+
 
 class Outcome(StrEnum):
     """How one attempt at an engine ended."""
@@ -54,9 +57,9 @@
 
     Within any `window` seconds the box's retries stay below `ratio` of its
     first attempts in that window and its part of `reserve`.  The parts of all
-    boxes add up to the fleet's budget.  A box that just started has no part
-    of the reserve yet, since it cannot know what it spent before it ended:
-    its part grows over the first window.
+    boxes add up to the fleet's budget.  A box that just started cannot know
+    what it spent before it ended, so its part of the reserve grows over the
+    first window, from `STARTING_RETRIES` on.
     """
 
     def __init__(self, started: float, ratio: float = 0.1, window: float = 10.0):
@@ -83,8 +86,9 @@
 
     def allowed(self, now: float) -> float:
         """Retries that this box may have made in the window that ends now."""
+        part = self.reserve / max(1, self.boxes)
         age = min(1.0, max(0.0, now - self._started) / self.window)
-        return self.ratio * len(self._firsts) + self.reserve * age / max(1, self.boxes)
+        return self.ratio * len(self._firsts) + max(part * age, min(part, STARTING_RETRIES))
 
     def _forget(self, now: float) -> None:
         for times in (self._firsts, self._retries):
