Entries that lapse while the store is away keep their engines for two seconds

Change: EngineView keeps engines that dropped off the list while outage_until lies ahead; the router sets it while most of the boxes it hears have lost the store, and two seconds on. What is still missing then is gone. A box that lost the store alone changes nothing: a removal that the store acknowledged still holds at once. Leaving stays sticky.

Ruled out: always waiting two seconds (a worker may leave by its entry alone, and drainTimeoutMs is two seconds).

--- a/packages/membership/seamhold_membership/box_view.py
+++ b/packages/membership/seamhold_membership/box_view.py
@@ -127,6 +127,14 @@
             and self.phase(name, now) is Phase.LIVE
         ]
 
+    def store_losses(self, now: float, seconds: float) -> list[bool]:
+        """Of each neighbour that spoke within `seconds`, whether it lost the platform."""
+        return [
+            self._states[name].store_lost
+            for name in self._neighbours
+            if now - self._states[name].heard_at <= seconds
+        ]
+
     def silent(self, now: float) -> list[str]:
         """Neighbours not heard for so long that their told load is void."""
         return [
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -45,7 +45,9 @@
 
     `rising_seconds` is how long an engine takes to its full weight after it
     joins; `suspect_seconds` is how long this box avoids an engine after its
-    own calls failed there, doubled for each time in a row.
+    own calls failed there, doubled for each time in a row.  Until
+    `outage_until` an engine that drops off the list keeps serving: entries
+    lapse while the platform is away, and engines that live write them anew.
     """
 
     #: Evidence that makes an engine suspect: each failed call adds a part.
@@ -58,7 +60,10 @@
     def __init__(self, rising_seconds: float = 10.0, suspect_seconds: float = 2.0):
         self.rising_seconds = rising_seconds
         self.suspect_seconds = suspect_seconds
+        self.outage_until = -math.inf
         self._states: dict[str, _EngineState] = {}
+        #: Engines that dropped off the list in an outage of the platform.
+        self._unlisted: set[str] = set()
         self._leaving: dict[str, str] = {}
         self._listed_once = False
         self._serving: dict[str, Serving] = {}
@@ -67,13 +72,27 @@
         """Take over the platform's list; it may be behind."""
         self._serving.clear()
         names = {engine.name for engine in engines}
-        for name in set(self._states) - names:
-            del self._states[name]
-            self._leaving.pop(name, None)
+        self._unlisted = set(self._states) - names
+        self.drop_unlisted(now)
         for engine in engines:
             self._set_engine(engine, now)
         self._listed_once = True
 
+    def drop_unlisted(self, now: float) -> list[str]:
+        """Forget the engines that are off the list, unless an outage explains it.
+
+        Gives their names.
+        """
+        if not self._unlisted or now < self.outage_until:
+            return []
+        dropped = sorted(self._unlisted)
+        for name in dropped:
+            del self._states[name]
+            self._leaving.pop(name, None)
+        self._unlisted.clear()
+        self._serving.clear()
+        return dropped
+
     def _set_engine(self, engine: Engine, now: float) -> None:
         held = self._states.get(engine.name)
         if engine.phase is Phase.LEAVING:
@@ -153,7 +172,7 @@
 
     def listed(self) -> list[Engine]:
         """Every engine as the platform listed it."""
-        return [state.engine for state in self._states.values()]
+        return [state.engine for name, state in self._states.items() if name not in self._unlisted]
 
     def phases(self, now: float) -> dict[str, Phase]:
         """The phase this box gives each listed engine."""
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -95,6 +95,7 @@
         now = self._clock()
         self._next_tick = now + TICK_SECONDS
         self._note_role(self._router.follows_store(now))
+        self._router.store_lost = self.store_lost
         self._deliver(self._router.tick(now))
 
     def _deliver(self, decisions: list[Decision]) -> None:
@@ -167,17 +168,18 @@
     def _set_engines(self, message: SetEngines) -> None:
         if self.engines_listed.is_set() and 0 < message.version <= self._engines_version:
             return
+        decisions = self._router.set_engines(message.engines, self._clock())
         self._engines_version = message.version
         self.engines_listed.set()
-        self._deliver(self._router.set_engines(message.engines, self._clock()))
+        self._deliver(decisions)
 
     def _set_boxes(self, message: SetBoxes) -> None:
         if self.boxes_listed.is_set() and 0 < message.version <= self._boxes_version:
             return
+        self._router.set_boxes(message.boxes, self._clock())
         self._boxes_version = message.version
         self._me = [box for box in message.boxes if box.name == self._router.box]
         self.boxes_listed.set()
-        self._router.set_boxes(message.boxes, self._clock())
         if self.on_boxes is not None:
             self.on_boxes(message.boxes)
 
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -26,7 +26,7 @@
 from seamhold_placement.rank import owners
 from seamhold_settings import Tree
 
-from .beliefs import Belief, belief_from, changes
+from .beliefs import LIST_SOURCE, Belief, belief_from, changes
 from .service import ServiceRouter, plan_for
 
 #: Events that one digest carries at most.
@@ -37,6 +37,8 @@
 WATCHERS_KEY = 'store-watchers'
 #: A watcher that is not heard for so long is taken to watch no more.
 WATCHER_SILENT_SECONDS = 1.0
+#: After an outage of the platform its list is whole again within this time.
+LIST_RECOVERY_SECONDS = 2.0
 #: What each way for a call to fail says against its engine.  A connection that
 #: is refused is proof; answers are lost, and calls fail, on good engines too.
 EVIDENCE = {
@@ -74,6 +76,8 @@
         self.failure_domain = failure_domain
         self.incarnation = incarnation
         self.leaving = False
+        #: Whether the platform does not serve this box.
+        self.store_lost = False
         self.counts: Counter[str] = Counter()
         #: Changes of belief since they were last taken, for the logs.
         self.beliefs: list[Belief] = []
@@ -300,8 +304,18 @@
             self._receiver.forget(name)
             self._sender.forget(name)
         self._share_between_live(now)
+        self._note_outage(now)
         return self._drain_queues(now)
 
+    def _note_outage(self, now: float) -> None:
+        """An outage is one of the platform if most boxes lost it, and not just this."""
+        losses = [*self.boxes.store_losses(now, WATCHER_SILENT_SECONDS), self.store_lost]
+        if 2 * sum(losses) > len(losses):
+            self.engines.outage_until = now + LIST_RECOVERY_SECONDS
+            return
+        for name in self.engines.drop_unlisted(now):
+            self.beliefs.append(Belief(name, Phase.GONE, LIST_SOURCE))
+
     def _tell_gone(self, name: str, now: float) -> None:
         box = self.boxes.get(name)
         if box is not None and box.incarnation:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from seamhold.decider import Decider
-from seamhold.decisions import SetBoxes, WantReport
+from seamhold.decisions import SetBoxes, SetEngines, WantReport
 from seamhold.forwarding.caller_watch import CallerWatch
 from seamhold.forwarding.calls import shared_part
 from seamhold.forwarding.entry import told_status
@@ -326,9 +326,47 @@
         self.talk(0.3, lost=lost)
         self.assertEqual(3, len(self.watchers(0.4) - set(lost)))
 
+    def test_entries_that_lapse_while_the_store_is_away_keep_their_engines(self):
+        router = self.one_with_an_engine()
+        self.talk(0.2, lost=self.NAMES)
+        router.store_lost = True
+        router.tick(0.3)
+        router.set_engines([], 1.0)
+        self.assertEqual(1, len(router.engines.serving('s', 1.0).engines))
+        router.store_lost = False
+        self.talk(2.0)
+        router.tick(2.5)
+        self.assertEqual({}, router.engines.serving('s', 2.5).engines)
+        self.assertEqual(Phase.GONE, router.beliefs[-1].phase)
+
+    def test_an_entry_that_goes_while_one_box_lost_the_store_is_gone(self):
+        router = self.one_with_an_engine()
+        self.talk(0.2)
+        router.store_lost = True
+        router.tick(0.3)
+        router.set_engines([], 1.0)
+        self.assertEqual({}, router.engines.serving('s', 1.0).engines)
+
+    def one_with_an_engine(self) -> Router:
+        router = self.routers['box-0']
+        router.set_engines([Engine('e', 's', 'e:1')], 0.0)
+        return router
+
     def test_a_box_that_hears_nobody_watches(self):
         self.assertEqual(set(self.NAMES), self.watchers(5.0))
 
+    def test_a_list_counts_as_known_once_it_is_taken(self):
+        router = Router('box-0', 'x')
+        decider = Decider(router, lambda: 0.0)
+        seen = []
+        router.set_engines = lambda engines, now: seen.append(decider.engines_listed.is_set()) or []
+        decider.start()
+        self.addCleanup(decider.stop)
+        decider.send(SetEngines([], 1))
+        decider.ask(WantReport()).result(5)
+        self.assertEqual([False], seen)
+        self.assertTrue(decider.engines_listed.is_set())
+
     def test_a_list_that_is_known_is_not_news(self):
         decider = Decider(Router('box-0', 'x'), lambda: 0.0)
         told = []
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -46,6 +46,35 @@
         self.assertTrue(view.failed('a', 0.3, 0.5))
         self.assertEqual(Phase.SUSPECT, view.phase('a', 0.4))
 
+    def test_an_entry_that_lapsed_in_an_outage_keeps_its_engine_for_a_while(self):
+        view = EngineView()
+        view.set_list([engine('a'), engine('b')], 0.0)
+        view.outage_until = 12.0
+        view.set_list([engine('b')], 10.0)
+        self.assertEqual({'a', 'b'}, set(view.serving('s', 10.1).engines))
+        self.assertEqual(['b'], [item.name for item in view.listed()])
+        view.set_list([engine('a'), engine('b')], 11.0)
+        view.drop_unlisted(12.1)
+        self.assertEqual({'a', 'b'}, set(view.serving('s', 12.1).engines))
+        self.assertEqual({'a': 1.0, 'b': 1.0}, view.serving('s', 12.1).weights)
+
+    def test_an_engine_still_off_the_list_after_an_outage_is_gone(self):
+        view = EngineView()
+        view.set_list([engine('a'), engine('b')], 0.0)
+        view.outage_until = 12.0
+        view.set_list([engine('b')], 10.0)
+        view.drop_unlisted(12.1)
+        self.assertEqual({'b'}, set(view.serving('s', 12.1).engines))
+        self.assertEqual(Phase.GONE, view.phase('a', 12.1))
+
+    def test_an_engine_that_leaves_is_not_brought_back_by_an_outage(self):
+        view = EngineView()
+        view.set_list([engine('a'), engine('b')], 0.0)
+        view.leaving('a', '1')
+        view.outage_until = 12.0
+        view.set_list([engine('b')], 10.0)
+        self.assertEqual({'b'}, set(view.serving('s', 10.1).engines))
+
     def test_if_all_are_suspect_they_serve(self):
         view = EngineView()
         view.set_list([engine('a')], 0.0)
