Boxes compare engines' failures together and avoid those that fail far more

Cause: a server that fails a part of its calls with good health was rarely avoided: evidence wanted four failures in a row on one box, and one box of 62 sees a server every few seconds. Slow and mute servers left no evidence at all until a call's time was up.

Change: FailureCounts (own failures of the last 3 s, told in every digest, added up over boxes) and outliers() (at least 5, three times the mean of the others and 3 more; at most a third of a service). An engine that has not begun to answer within two objectives counts as one that failed. An outlier is avoided for suspect_seconds, doubled when it comes back and fails; answers do not clear it, since a grey server answers too. Where all fail alike nobody is avoided.

Also: the list of boxes is read fresh and often while a box knows no other, so that 62 boxes do not all watch at the start. Router split: health.py and watchers.py hold what failed calls say and who watches the store; the tests of several boxes went to tests/test_together.py.

--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -5,6 +5,7 @@
 from .digest import Digest, DigestReceiver, DigestSender
 from .engine_view import EngineView, Serving
 from .gossip import Event, EventKind, EventLog
+from .outliers import FailureCounts, outliers
 
 __all__ = [
     'BoxView',
@@ -16,5 +17,7 @@
     'Event',
     'EventKind',
     'EventLog',
+    'FailureCounts',
     'Serving',
+    'outliers',
 ]
--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -28,7 +28,8 @@
     there, so that a peer that is behind can pull them.  `held` tells which
     engines read which chats lately, as far as it is new.  The versions tell
     how new the platform's lists are there, 0 if that is not known, and
-    `store_lost` that the platform does not serve that box.
+    `store_lost` that the platform does not serve that box.  `failures` counts
+    the calls that failed lately, by engine.
     """
 
     box: str
@@ -46,6 +47,7 @@
     engines_version: int = 0
     boxes_version: int = 0
     store_lost: bool = False
+    failures: dict[str, int] = field(default_factory=dict)
 
     @property
     def full(self) -> bool:
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -24,6 +24,9 @@
     #: Evidence against it since its last whole answer.
     evidence: float = 0.0
     reporters: dict[str, float] = field(default_factory=dict)
+    #: It fails more than its siblings; answers do not clear this.
+    outlier_until: float = -math.inf
+    ejections: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +57,10 @@
     EVIDENCE_MAX = 1.0
 
     FLAPS_MAX = 5
+    #: Times in a row that double how long an outlier is avoided, and after what
+    #: time in service it is taken as healed.
+    EJECTIONS_MAX = 3
+    OUTLIER_MEMORY_SECONDS = 10.0
     REPORTERS_FOR_SUSPECT = 3
     REPORT_SECONDS = 5.0
 
@@ -136,6 +143,22 @@
             state.reporters.clear()
             self._serving.clear()
 
+    def eject(self, name: str, now: float) -> bool:
+        """The engine fails far more often than its siblings; True if that is new.
+
+        It is avoided for `suspect_seconds`, and longer each time it comes back
+        and fails again.
+        """
+        state = self._states.get(name)
+        if state is None or now < state.outlier_until:
+            return False
+        if now > state.outlier_until + self.OUTLIER_MEMORY_SECONDS:
+            state.ejections = 0
+        state.outlier_until = now + self.suspect_seconds * 2**state.ejections
+        state.ejections = min(state.ejections + 1, self.EJECTIONS_MAX)
+        self._serving.clear()
+        return True
+
     def reported_failing(self, name: str, incarnation: str, box: str, now: float) -> None:
         """Peer `box` told that its calls to the engine fail."""
         state = self._states.get(name)
@@ -151,7 +174,9 @@
         if self._leaving.get(name) == state.engine.incarnation:
             return Phase.LEAVING
         reports = sum(now < until for until in state.reporters.values())
-        if now < state.suspect_until or reports >= self.REPORTERS_FOR_SUSPECT:
+        if now < max(state.suspect_until, state.outlier_until):
+            return Phase.SUSPECT
+        if reports >= self.REPORTERS_FOR_SUSPECT:
             return Phase.SUSPECT
         return Phase.LIVE
 
@@ -170,6 +195,15 @@
         state = self._states.get(name)
         return state.engine if state else None
 
+    def of_service(self, service: str) -> list[str]:
+        """The names of a service's engines that take new work or may again."""
+        return [
+            name
+            for name, state in self._states.items()
+            if state.engine.service == service
+            and self._leaving.get(name) != state.engine.incarnation
+        ]
+
     def phases(self, now: float) -> dict[str, Phase]:
         """The phase this box gives each listed engine."""
         return {name: self.phase(name, now) for name in self._states}
@@ -214,7 +248,7 @@
 
     def _next_change(self, state: _EngineState, now: float) -> float:
         """When time alone may change how an engine is treated."""
-        times = [state.suspect_until, *state.reporters.values()]
+        times = [state.suspect_until, state.outlier_until, *state.reporters.values()]
         if state.rising:
             step = self.rising_seconds / len(RISING_STEPS)
             times += [state.since + step * number for number in range(1, len(RISING_STEPS) + 1)]
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -45,6 +45,8 @@
     the clock of the box that decides; `hint` tells which engine served the
     chat's last turn, or None; `excluded` holds engines already tried.  A call
     that is not `sticky` reuses nothing and goes where the load is least.
+    `objective` is the time to the first byte that counts as in time, in
+    seconds, None if the settings name none.
     """
 
     id: str
@@ -57,6 +59,7 @@
     hint: str = ''
     excluded: frozenset[str] = frozenset()
     sticky: bool = True
+    objective: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -106,6 +106,9 @@
     for holding in digest.held:
         part.held_chats.append(holding.chat)
         part.held_engines.append(NameTable.key(holding.engine))
+    for name, count in digest.failures.items():
+        part.failing_engines.append(NameTable.key(name))
+        part.failed_calls.append(count)
     return part
 
 
@@ -169,6 +172,11 @@
         part.engines_version,
         part.boxes_version,
         part.store_lost,
+        {
+            name: count
+            for key, count in zip(part.failing_engines, part.failed_calls, strict=False)
+            if (name := names.name(key))
+        },
     )
 
 
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -21,6 +21,7 @@
     Admit,
     Again,
     Attempted,
+    Began,
     BoxReport,
     Closed,
     DeciderReport,
@@ -72,6 +73,7 @@
         self.handlers = {
             Admit: self._admit,
             Again: self._again,
+            Began: lambda message: self._router.health.began(message.call_id),
             Attempted: self._attempted,
             Closed: self._closed,
             Abandon: self._abandon,
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -27,6 +27,13 @@
     outcome: Outcome
 
 
+@dataclass(slots=True)
+class Began:
+    """The engine of a call has begun to answer."""
+
+    call_id: str
+
+
 @dataclass(slots=True)
 class Attempted:
     """An attempt ended."""
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -82,6 +82,7 @@
         now + min(remaining, policy.deadline),
         Priority(min(policy.priority, PRIORITY_MAX)),
         sticky=shared is not None,
+        objective=policy.objective,
     )
     repeatable = policy.resumable if route.streamed else policy.repeatable
     rule = RetryRule(repeatable, policy.retries)
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -25,8 +25,9 @@
 NOT_WATCHING_SECONDS = 0.1
 #: Servers and settings change in bursts: one call brings what came together.
 GATHER_SECONDS = 0.2
-#: How often a list that is not watched is read.
+#: How often a list that is not watched is read, and while it names nobody else.
 POLL_SECONDS = 3.0
+ALONE_POLL_SECONDS = 0.7
 
 
 class StoreWatch:
@@ -161,15 +162,20 @@
 
 
 class PolledListFollower(VersionedListFollower):
-    """Reads a list now and then instead of watching it, where age does no harm."""
+    """Reads a list now and then instead of watching it, where age does no harm.
+
+    It does at the start, when the boxes that will share the watches do not
+    know each other yet.
+    """
 
     def _follow(self) -> None:
         while not self._stopped.is_set() and self.wanted():
-            page = self.platform.list(self.kind, stale=True)
+            alone = len(self._known() or []) <= 1
+            page = self.platform.list(self.kind, stale=not alone)
             self._note_regained()
             self.version = page.version
             self.listed(page.objects)
-            self._stopped.wait(POLL_SECONDS)
+            self._stopped.wait(ALONE_POLL_SECONDS if alone else POLL_SECONDS)
 
 
 def _by_name(items: list) -> dict:
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -21,7 +21,7 @@
 from .budgets import RetryBudgets
 from .context import Environment
 from .decider import Decider
-from .decisions import Abandon, Admit, Again, Attempted, Closed, EngineLeaving
+from .decisions import Abandon, Admit, Again, Attempted, Began, Closed, EngineLeaving
 from .guards import Guard
 from .logs import logger
 from .metrics import Metrics
@@ -198,6 +198,7 @@
                 job.sent += 1
             raise
         job.sent += 1
+        self._decider.send(Began(job.call.id))
         return answer
 
     def _next_place(self, job: Job, placed: Placed, failure: AttemptFailed, passed: bool) -> Placed:
--- a/packages/routing/seamhold_routing/beliefs.py
+++ b/packages/routing/seamhold_routing/beliefs.py
@@ -7,6 +7,8 @@
 
 #: Who told a belief that comes from the platform's list.
 LIST_SOURCE = 'list'
+#: Who told that an engine fails more than its siblings: all boxes together.
+OUTLIER_SOURCE = 'compared'
 #: What an event makes of its subject.
 EVENT_PHASES = {
     EventKind.ENGINE_LEAVING: Phase.LEAVING,
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -23,34 +23,18 @@
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
 from seamhold_placement import Chooser, HolderTable, LoadTable, choose
-from seamhold_placement.rank import owners
 from seamhold_settings import Tree
 
-from .beliefs import LIST_SOURCE, Belief, belief_from, changes
+from .beliefs import LIST_SOURCE, OUTLIER_SOURCE, Belief, belief_from, changes
+from .health import EngineHealth
 from .service import ServiceRouter, plan_for
+from .watchers import store_away, watches
 
 #: Events that one digest carries at most.
 EVENTS_PER_DIGEST = 8
 NO_ENGINE_RETRY_SECONDS = 1.0
-#: Boxes among neighbours that watch the platform's store for all of them.
-WATCHERS = 4
-WATCHERS_KEY = 'store-watchers'
-#: A watcher that is not heard for so long, and for so many rounds of telling,
-#: is taken to watch no more.
-WATCHER_SILENT_SECONDS = 1.0
-WATCHER_SILENT_ROUNDS = 2.2
-#: What a usual digest takes of a box's bytes a second.
-DIGEST_BYTES = 110
 #: After an outage of the platform its list is whole again within this time.
 LIST_RECOVERY_SECONDS = 2.0
-#: What each way for a call to fail says against its engine.  A connection that
-#: is refused is proof; answers are lost, and calls fail, on good engines too.
-EVIDENCE = {
-    Outcome.NOT_SENT: 1.0,
-    Outcome.FAILED: 0.5,
-    Outcome.BROKEN: 0.5,
-    Outcome.ANSWERED_FAILURE: 0.25,
-}
 
 
 @dataclass(slots=True)
@@ -87,6 +71,7 @@
         self.beliefs: list[Belief] = []
         self.tree = Tree()
         self.engines = EngineView()
+        self.health = EngineHealth(self.engines)
         self.boxes = BoxView(box)
         self.loads = loads or LoadTable()
         self.holders = HolderTable()
@@ -144,6 +129,7 @@
             self.loads.set_peer(digest.box, whole.loads)
             self.limits.set_peer(digest.box, whole.usage, whole.ack)
         self.holders.heard(digest.held, now)
+        self.health.failures.told(digest.box, digest.failures, now)
         if digest.leaving:
             event = Event(EventKind.BOX_LEAVING, digest.box, digest.incarnation, digest.box)
             self._take_event(event, now)
@@ -235,6 +221,7 @@
 
     def _start(self, placed: Placed, call: Call, now: float) -> Placed:
         self._active[call.id].engine = placed.engine
+        self.health.sent(call.id, placed.engine, call.objective, now)
         if call.sticky:
             self.holders.placed(call.chat, placed.engine, now)
         self.loads.start(placed.engine, call.work)
@@ -246,15 +233,14 @@
         if active is None or not active.engine:
             return []
         engine, active.engine = active.engine, ''
+        self.health.began(call_id)
         self.loads.finish(engine, active.call.work)
         self._note_outcome(engine, outcome, now)
         return self._drain_queue(active.call.service, now)
 
     def _note_outcome(self, engine: str, outcome: Outcome, now: float) -> None:
         self.counts[f'outcome.{outcome}'] += 1
-        if outcome is Outcome.DONE:
-            self.engines.answered(engine)
-        elif outcome in EVIDENCE and self.engines.failed(engine, now, EVIDENCE[outcome]):
+        if self.health.ended(engine, outcome, now):
             listed = self.engines.get(engine)
             self.beliefs.append(Belief(engine, Phase.SUSPECT, self.box))
             if listed is not None:
@@ -296,6 +282,7 @@
 
     def _forget(self, call_id: str) -> None:
         active = self._active.pop(call_id, None)
+        self.health.began(call_id)
         if active is not None:
             self.limits.release(active.call.workspace, active.call.work)
 
@@ -311,12 +298,14 @@
             self.holders.forget_peer(name)
         self._share_between_live(now)
         self._note_outage(now)
+        for name in self.health.eject_outliers(self._services, now):
+            self.counts['engine.ejected'] += 1
+            self.beliefs.append(Belief(name, Phase.SUSPECT, OUTLIER_SOURCE))
         return self._drain_queues(now)
 
     def _note_outage(self, now: float) -> None:
-        """An outage is one of the platform if most boxes lost it, and not just this."""
-        losses = [*self.boxes.store_losses(now, self._silent_seconds()), self.store_lost]
-        if 2 * sum(losses) > len(losses):
+        """While the platform is away, entries that lapse say nothing of their engines."""
+        if store_away(self.store_lost, self.boxes, self.tree.fleet.control, now):
             self.engines.outage_until = now + LIST_RECOVERY_SECONDS
             return
         for name in self.engines.drop_unlisted(now):
@@ -375,20 +364,8 @@
         return decisions
 
     def follows_store(self, now: float) -> bool:
-        """Whether this box is one of the few that watch the platform's store.
-
-        It is if it ranks among the first of its neighbours that are heard
-        and served; those that fall silent are replaced within a second.
-        """
-        served = [*self.boxes.served(now, self._silent_seconds()), self.box]
-        return self.box in owners(WATCHERS_KEY, served, WATCHERS)
-
-    def _silent_seconds(self) -> float:
-        """After what silence a neighbour is not counted on: more where many are told."""
-        control = self.tree.fleet.control
-        round_bytes = len(self.boxes.neighbours()) * DIGEST_BYTES
-        telling = max(control.digest_seconds, round_bytes / control.control_bytes_per_second)
-        return max(WATCHER_SILENT_SECONDS, WATCHER_SILENT_ROUNDS * telling)
+        """Whether this box is one of the few that watch the platform's store."""
+        return watches(self.box, self.boxes, self.tree.fleet.control, now)
 
     # What the box tells.
 
@@ -404,6 +381,7 @@
             settings_print=settings_print,
             events=self.events.pending(EVENTS_PER_DIGEST),
             held=self.holders.news_for(peer),
+            failures=self.health.failures.own(now),
         )
         ack = self._receiver.last(peer)
         message = self._sender.next_for(peer, digest, ack)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Views of boxes and engines, events, digests and the byte budget."""
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 import testtools
@@ -17,6 +18,8 @@
     Event,
     EventKind,
     EventLog,
+    FailureCounts,
+    outliers,
 )
 from seamhold_membership.neighbours import neighbours
 from seamhold_messages.fleet import Box, Engine, Phase
@@ -28,6 +31,49 @@
     return Engine(name, 's', 'a', 'd', incarnation, phase=phase)
 
 
+class TestOutliers(testtools.TestCase):
+    SERVERS = ('a', 'b', 'c', 'd', 'e', 'f')
+
+    def test_one_that_fails_far_more_than_its_siblings_is_found(self):
+        failures = Counter(a=3, b=2, c=20, d=4)
+        self.assertEqual(['c'], outliers(self.SERVERS, failures))
+
+    def test_where_all_fail_alike_none_is_found(self):
+        self.assertEqual([], outliers(self.SERVERS, Counter(dict.fromkeys(self.SERVERS, 40))))
+        self.assertEqual([], outliers(self.SERVERS, Counter(a=40, b=38, c=41, d=39)))
+
+    def test_a_few_failures_prove_nothing(self):
+        self.assertEqual([], outliers(self.SERVERS, Counter(a=4)))
+
+    @given(st.lists(st.integers(0, 100), min_size=1, max_size=30))
+    def test_no_more_than_a_third_is_avoided(self, counts):
+        failures = Counter({f's{number}': count for number, count in enumerate(counts)})
+        servers = [f's{number}' for number in range(len(counts))]
+        self.assertLessEqual(3 * len(outliers(servers, failures)), len(servers))
+
+    def test_what_boxes_saw_adds_up_and_fades(self):
+        counts = FailureCounts()
+        for now in (0.0, 1.0, 2.5):
+            counts.failed('a', now)
+        counts.told('other', {'a': 4, 'b': 1}, 2.0)
+        self.assertEqual({'a': 7, 'b': 1}, counts.totals(2.6))
+        self.assertEqual({'a': 5, 'b': 1}, counts.totals(4.5))
+        self.assertEqual({}, counts.totals(6.0))
+        counts.told('other', {}, 6.0)
+        self.assertEqual({}, counts.own(6.0))
+
+    def test_an_outlier_is_avoided_though_it_answers_now_and_then(self):
+        view = EngineView(suspect_seconds=2)
+        view.set_list([engine('a'), engine('b')], 0.0)
+        self.assertTrue(view.eject('a', 0.0))
+        view.answered('a')
+        self.assertEqual({'b'}, set(view.serving('s', 1.0).engines))
+        self.assertEqual({'a', 'b'}, set(view.serving('s', 2.1).engines))
+        self.assertTrue(view.eject('a', 2.1))
+        self.assertEqual(Phase.SUSPECT, view.phase('a', 5.9))
+        self.assertEqual(Phase.LIVE, view.phase('a', 6.2))
+
+
 class TestEngineView(testtools.TestCase):
     def test_one_failed_call_is_suspicion_not_death(self):
         view = EngineView(suspect_seconds=2)
--- /dev/null
+++ b/tests/test_together.py
@@ -0,0 +1,308 @@
+"""What several boxes know together: holdings, failing engines, who watches the store."""
+
+import json
+import random
+from dataclasses import replace
+
+import testtools
+
+from seamhold.decider import Decider
+from seamhold.decisions import SetBoxes, SetEngines, WantReport
+from seamhold.forwarding.calls import shared_part
+from seamhold.ports import PromptPart
+from seamhold.telling import TellingOrder
+from seamhold_attempts.retry import Outcome
+from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_messages.work import Call, Placed, Work
+from seamhold_peers import FleetLists
+from seamhold_peers.codec import (
+    UnreadablePart,
+    decode_candidate,
+    decode_lists,
+    encode_candidate,
+    encode_lists,
+)
+from seamhold_placement import HolderTable
+from seamhold_routing import Router
+from seamhold_settings import Candidate
+from seamhold_settings.tree import TREE_OBJECT
+
+
+class TestTelling(testtools.TestCase):
+    def test_a_short_budget_reaches_every_peer_in_turn(self):
+        order = TellingOrder(random.Random(1))
+        peers = [f'box-{number}' for number in range(10)]
+        reached = []
+        for _ in range(4):
+            for name in order.of(peers)[:3]:
+                order.told(name)
+                reached.append(name)
+        self.assertEqual(set(peers), set(reached))
+        self.assertNotIn('box-3', order.of([name for name in peers if name != 'box-3']))
+
+    def test_settings_travel_packed_and_come_out_whole(self):
+        spec = {'routes': [{'host': 'a.example', 'path': f'/p{n}/'} for n in range(500)]}
+        candidate = Candidate(TREE_OBJECT, 7, '7', spec)
+        encoded = encode_candidate(candidate)
+        self.assertLess(encoded.ByteSize() * 5, len(json.dumps(spec)))
+        self.assertEqual(candidate, decode_candidate(encoded))
+
+    def test_what_cannot_be_unpacked_is_an_error_of_the_peer(self):
+        encoded = encode_candidate(Candidate(TREE_OBJECT, 7, '7', {'a': 1}))
+        for spoiled in (b'', b'nothing', encoded.spec_packed[:-3]):
+            encoded.spec_packed = spoiled
+            self.assertRaises(UnreadablePart, decode_candidate, encoded)
+
+
+class TestHolders(testtools.TestCase):
+    def engines(self, *names: str, phase: Phase = Phase.LIVE) -> list[Engine]:
+        return [Engine(name, 'llm', f'{name}:80', incarnation=name, phase=phase) for name in names]
+
+    def place(self, router: Router, number: int, now: float, chat: str = 'chat') -> Placed:
+        call = Call(f'call-{number}', 'w', 'llm', chat, Work(1, 1), now + 10)
+        placed = router.admit(call, now)[0]
+        router.close(call.id, now)
+        return placed
+
+    def test_a_chat_stays_with_the_engine_that_read_it_when_others_come(self):
+        router = Router('box', 'x')
+        router.set_engines(self.engines('e1', 'e2'), 0.0)
+        first = {chat: self.place(router, 1, 0.0, chat).engine for chat in map(str, range(40))}
+        router.set_engines(self.engines(*(f'e{number}' for number in range(1, 9))), 1.0)
+        later = {chat: self.place(router, 2, 30.0, chat).engine for chat in first}
+        self.assertEqual(first, later)
+
+    def test_another_box_hears_who_holds_a_chat(self):
+        one, other = Router('one', 'x'), Router('other', 'y')
+        for router in (one, other):
+            router.set_engines(self.engines('e1', 'e2', 'e3'), 0.0)
+        held = self.place(one, 1, 0.0).engine
+        other.holders.heard(one.holders.news_for('other'), 0.1)
+        self.assertEqual([held], other.holders.of('chat', 0.2))
+
+    def test_an_engine_that_leaves_is_fetched_from(self):
+        router = Router('box', 'x')
+        router.set_engines(self.engines('e1', 'e2'), 0.0)
+        held = self.place(router, 1, 0.0).engine
+        rest = [name for name in ('e1', 'e2') if name != held]
+        leaving = self.engines(held, phase=Phase.LEAVING)
+        router.set_engines([*leaving, *self.engines(*rest)], 1.0)
+        placed = self.place(router, 2, 1.0)
+        self.assertEqual((rest[0], f'{held}:80'), (placed.engine, placed.fetch_from))
+        again = self.place(router, 3, 1.1)
+        self.assertEqual((rest[0], ''), (again.engine, again.fetch_from))
+
+    def test_a_box_that_starts_anew_learns_all_from_a_peer(self):
+        old, new = Router('old', 'x'), Router('new', 'y')
+        old.set_engines(self.engines('e1', 'e2', 'e3'), 0.0)
+        placed = {chat: self.place(old, 1, 0.0, chat).engine for chat in map(str, range(50))}
+        told = FleetLists([], [], 1, 1, old.holders.all(20.0))
+        new.holders.heard(decode_lists(encode_lists(told)).held, 20.0)
+        self.assertEqual(placed, {chat: new.holders.of(chat, 20.0)[0] for chat in placed})
+
+    def test_news_goes_out_twice_to_each_peer_and_then_no_more(self):
+        holders = HolderTable()
+        self.assertEqual((), holders.news_for('peer'))
+        holders.placed('chat', 'e1', 0.0)
+        holders.placed('chat', 'e1', 0.1)
+        self.assertEqual([1, 1, 0], [len(holders.news_for('peer')) for _ in range(3)])
+
+    def test_much_news_goes_out_in_parts_and_all_of_it(self):
+        holders = HolderTable()
+        holders.news_for('peer')
+        for number in range(200):
+            holders.placed(f'chat-{number}', 'e1', 0.0)
+        parts = [holders.news_for('peer') for _ in range(12)]
+        self.assertEqual(200, len({holding.chat for part in parts for holding in part}))
+        self.assertTrue(all(len(part) <= 128 for part in parts))
+
+    def test_what_stays_in_use_is_told_again_before_it_is_forgotten(self):
+        holders, peer = HolderTable(), HolderTable()
+        for second in range(0, 180, 10):
+            holders.placed('chat', 'e1', float(second))
+            peer.heard(holders.news_for('peer'), float(second))
+            self.assertEqual(['e1'], peer.of('chat', float(second)))
+
+    def test_a_spilled_call_fetches_from_the_first_rank_if_no_holder_is_known(self):
+        router = Router('box', 'x')
+        router.set_engines(self.engines('e1', 'e2', 'e3'), 0.0)
+        first = self.place(router, 1, 0.0).engine
+        other = Router('other', 'y')
+        other.set_engines(self.engines('e1', 'e2', 'e3'), 0.0)
+        other.loads.set_peer('busy', {first: Work(40, 40)})
+        other.admit(Call('call-2', 'w', 'llm', 'chat', Work(1, 1), 10.0), 0.0)
+        (placed,) = other.tick(1.0)
+        self.assertNotEqual(first, placed.engine)
+        self.assertEqual(f'{first}:80', placed.fetch_from)
+
+    def test_a_call_that_is_not_sticky_goes_where_load_is_least(self):
+        router = Router('box', 'x')
+        router.set_engines(self.engines('e1', 'e2', 'e3'), 0.0)
+        for number in range(9):
+            call = Call(f'n{number}', 'w', 'llm', f'n{number}', Work(1, 1), 10.0, sticky=False)
+            router.admit(call, 0.0)
+        loads = [router.loads.estimate(name).requests for name in ('e1', 'e2', 'e3')]
+        self.assertEqual([3, 3, 3], loads)
+
+    def test_among_equal_loads_the_own_failure_domain_goes_first(self):
+        router = Router('box', 'x', failure_domain='here')
+        near = Engine('near', 'llm', 'n:80', 'here', incarnation='near')
+        far = Engine('far', 'llm', 'f:80', 'there', incarnation='far')
+        router.set_engines([far, near], 0.0)
+        calls = [Call(f'n{i}', 'w', 'llm', f'n{i}', Work(1, 1), 10.0, sticky=False) for i in '12']
+        went = [router.admit(call, 0.0)[0].engine for call in calls]
+        self.assertEqual(['near', 'far'], went)
+
+    def test_placement_goes_by_the_last_shared_part(self):
+        parts = (PromptPart('a', 500), PromptPart('b', 9000), PromptPart('own', 100))
+        self.assertEqual('b', shared_part(parts).id)
+        self.assertIsNone(shared_part(()))
+
+
+class TestFailingEngines(testtools.TestCase):
+    """A server that fails a part of its calls with good health, seen by all boxes."""
+
+    NAMES = ('e1', 'e2', 'e3', 'e4')
+
+    def setUp(self):
+        super().setUp()
+        self.boxes = [Router(name, 'x') for name in ('one', 'other')]
+        for router in self.boxes:
+            router.set_boxes([Box('one', 'a:1'), Box('other', 'b:1')], 0.0)
+            router.set_engines([Engine(name, 'app', f'{name}:80') for name in self.NAMES], 0.0)
+
+    def call(self, router: Router, number: int, now: float, bad: str, outcome: Outcome) -> None:
+        call = Call(f'{router.box}-{number}', 'w', 'app', str(number), Work(1, 1), now + 9)
+        call = replace(call, sticky=False, objective=0.4)
+        (placed,) = router.admit(call, now)
+        failed = placed.engine == bad and number % 2
+        router.attempted(call.id, outcome if failed else Outcome.DONE, now)
+        router.close(call.id, now)
+
+    def talk(self, now: float) -> None:
+        one, other = self.boxes
+        other.hear(one.digest_for('other', 0, 0, now), now)
+        one.hear(other.digest_for('one', 0, 0, now), now)
+
+    def test_boxes_that_see_little_each_avoid_it_together(self):
+        for number in range(16):
+            for router in self.boxes:
+                self.call(router, number, number / 16, 'e1', Outcome.ANSWERED_FAILURE)
+        for router in self.boxes:
+            self.assertLess(router.health.failures.own(1.0)['e1'], 5)
+            router.tick(1.0)
+            self.assertIn('e1', router.engines.serving('app', 1.0).engines)
+        self.talk(1.1)
+        for router in self.boxes:
+            self.assertGreaterEqual(router.health.failures.totals(1.2)['e1'], 5)
+            router.tick(1.2)
+            self.assertNotIn('e1', router.engines.serving('app', 1.2).engines)
+
+    def test_an_engine_that_is_silent_counts_as_failing(self):
+        router = self.boxes[0]
+        for number in range(24):
+            call = Call(f'c{number}', 'w', 'app', str(number), Work(1, 1), 9.0)
+            (placed,) = router.admit(replace(call, sticky=False, objective=0.4), 0.0)
+            if placed.engine != 'e1':
+                router.health.began(call.id)
+        router.tick(0.5)
+        self.assertIn('e1', router.engines.serving('app', 0.5).engines)
+        router.tick(0.9)
+        self.assertNotIn('e1', router.engines.serving('app', 0.9).engines)
+
+
+class TestStoreWatchers(testtools.TestCase):
+    """Few boxes watch the store, and those that fall away are replaced at once."""
+
+    NAMES = tuple(f'box-{number}' for number in range(8))
+
+    def setUp(self):
+        super().setUp()
+        self.routers = {name: Router(name, 'x') for name in self.NAMES}
+        for router in self.routers.values():
+            router.set_boxes([Box(name, f'{name}:1') for name in self.NAMES], 0.0)
+
+    def talk(self, now: float, silent: tuple = (), lost: tuple = ()) -> None:
+        for speaker in self.NAMES:
+            for hearer in self.NAMES:
+                if speaker != hearer and speaker not in silent:
+                    digest = self.routers[speaker].digest_for(hearer, 0, 0, now)
+                    digest = replace(digest, store_lost=speaker in lost)
+                    self.routers[hearer].hear(digest, now)
+
+    def watchers(self, now: float, silent: tuple = ()) -> set[str]:
+        return {
+            name
+            for name, router in self.routers.items()
+            if name not in silent and router.follows_store(now)
+        }
+
+    def test_four_watch(self):
+        self.talk(0.1)
+        self.assertEqual(4, len(self.watchers(0.2)))
+
+    def test_watchers_that_fall_silent_are_replaced_within_a_second(self):
+        self.talk(0.1)
+        dead = tuple(self.watchers(0.2))
+        for tenths in range(2, 14):
+            self.talk(tenths / 10, silent=dead)
+        self.assertEqual(4, len(self.watchers(1.3, silent=dead)))
+
+    def test_watchers_that_the_store_turns_away_are_replaced(self):
+        self.talk(0.1)
+        lost = tuple(self.watchers(0.2))
+        self.talk(0.3, lost=lost)
+        self.assertEqual(4, len(self.watchers(0.4) - set(lost)))
+
+    def test_entries_that_lapse_while_the_store_is_away_keep_their_engines(self):
+        router = self.one_with_an_engine()
+        self.talk(0.2, lost=self.NAMES)
+        router.store_lost = True
+        router.tick(0.3)
+        router.set_engines([], 1.0)
+        self.assertEqual(1, len(router.engines.serving('s', 1.0).engines))
+        router.store_lost = False
+        self.talk(2.0)
+        router.tick(2.5)
+        self.assertEqual({}, router.engines.serving('s', 2.5).engines)
+        self.assertEqual(Phase.GONE, router.beliefs[-1].phase)
+
+    def test_an_entry_that_goes_while_one_box_lost_the_store_is_gone(self):
+        router = self.one_with_an_engine()
+        self.talk(0.2)
+        router.store_lost = True
+        router.tick(0.3)
+        router.set_engines([], 1.0)
+        self.assertEqual({}, router.engines.serving('s', 1.0).engines)
+
+    def one_with_an_engine(self) -> Router:
+        router = self.routers['box-0']
+        router.set_engines([Engine('e', 's', 'e:1')], 0.0)
+        return router
+
+    def test_a_box_that_hears_nobody_watches(self):
+        self.assertEqual(set(self.NAMES), self.watchers(5.0))
+
+    def test_a_list_counts_as_known_once_it_is_taken(self):
+        router = Router('box-0', 'x')
+        decider = Decider(router, lambda: 0.0)
+        seen = []
+        router.set_engines = lambda engines, now: seen.append(decider.engines_listed.is_set()) or []
+        decider.start()
+        self.addCleanup(decider.stop)
+        decider.send(SetEngines([], 1))
+        decider.ask(WantReport()).result(5)
+        self.assertEqual([False], seen)
+        self.assertTrue(decider.engines_listed.is_set())
+
+    def test_a_list_that_is_known_is_not_news(self):
+        decider = Decider(Router('box-0', 'x'), lambda: 0.0)
+        told = []
+        decider.on_boxes = told.append
+        decider.start()
+        self.addCleanup(decider.stop)
+        boxes = [Box('box-0', 'a:1'), Box('box-1', 'b:1')]
+        for version in (5, 5, 4, 6):
+            decider.send(SetBoxes(boxes, version))
+        decider.ask(WantReport()).result(5)
+        self.assertEqual(2, len(told))
