A box that starts asks engines what they hold; plain calls stay near

Cause: holdings are in the boxes' memory.

Change: a box that starts asks each engine that it ranks first for among the boxes, once, what it keeps (parts from 512 tokens on), and tells peers as for its own placements. A service says in the tree whether its servers keep prompts.

Tests: two boxes that start learn from both workers, each asked at most twice; the domain's test now says how many calls go near (5 or 6 of 9).

--- a/packages/placement/seamhold_placement/bound.py
+++ b/packages/placement/seamhold_placement/bound.py
@@ -13,11 +13,15 @@
 """
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
 from seamhold_messages.work import Work
 
+#: What a call to another failure domain costs, in calls of load: what is known
+#: of the load is not exact to less.
+FAR_CALLS = 1
+
 
 @dataclass(frozen=True, slots=True)
 class BoundPolicy:
@@ -122,15 +126,22 @@
 
 
 def choose_least_loaded(
-    candidates: Sequence[Candidate], totals: Totals, work: Work
+    candidates: Sequence[Candidate], work: Work, near: Collection[str] = ()
 ) -> Choice | None:
     """The engine with the least load for its weight, or None if all are full.
 
-    Among equals the first in rank order is taken.
+    One that is not `near` must have a call less than those that are.  Among
+    equals the first in rank order is taken.
     """
-    if not candidates:
-        return None
-    return _least_loaded(candidates, work, _bound(totals, work, BoundPolicy()))
+    best = None
+    for position, engine in enumerate(candidates):
+        if engine.load.requests + work.requests > engine.slots:
+            continue
+        distance = 0 if engine.name in near else FAR_CALLS
+        load = (engine.load.requests + distance) / engine.weight
+        if best is None or load < best[0]:
+            best = (load, position, engine.name)
+    return None if best is None else Choice(best[2], best[1], False)
 
 
 def _least_loaded(candidates: Sequence[Candidate], work: Work, bound: _Bound) -> Choice | None:
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -30,6 +30,7 @@
     EngineReport,
     Hear,
     HearHoldings,
+    LearnHoldings,
     Leaving,
     SetBoxes,
     SetEngines,
@@ -83,6 +84,7 @@
             SetBoxes: self._set_boxes,
             WantLists: self._lists,
             HearHoldings: self._hear_holdings,
+            LearnHoldings: self._learn_holdings,
             Hear: self._hear,
             WantDigest: self._digest,
             DigestSent: self._digest_sent,
@@ -191,6 +193,11 @@
     def _hear_holdings(self, message: HearHoldings) -> None:
         self._router.holders.heard(message.held, self._clock())
 
+    def _learn_holdings(self, message: LearnHoldings) -> None:
+        now = self._clock()
+        for chat in message.chats:
+            self._router.holders.placed(chat, message.engine, now)
+
     def _lists(self, message: WantLists) -> FleetLists:
         engines = self.listed_engines or []
         boxes = self.listed_boxes or []
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -106,6 +106,14 @@
     held: tuple[Holding, ...]
 
 
+@dataclass(slots=True)
+class LearnHoldings:
+    """An engine told which chats it has read; peers are told."""
+
+    engine: str
+    chats: list[str]
+
+
 @dataclass(slots=True)
 class Hear:
     """A peer told its state."""
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -29,6 +29,7 @@
 from .backends import BackendConnections
 from .entry import ForwardingEntry, ForwardingServer
 from .followers import PolledListFollower, StoreWatch, TreeFollower, VersionedListFollower
+from .held import HeldReader
 from .peer_handler import ForwardingPeerHandler
 from .registration import Registration
 from .reports import Reports, ReportServer
@@ -74,6 +75,14 @@
         self.entry = ForwardingEntry(
             dialect.callers, self.runner, self.gate, environment, self.metrics, self._has_state
         )
+        self.held = HeldReader(
+            config.box,
+            dialect.backends,
+            self.decider,
+            lambda: self.keeper.snapshot.tree,
+            self._has_state,
+            lambda: self.peering.roster.live_boxes,
+        )
         self.followers = self._followers(chance)
         self.server = ForwardingServer(config.listen, config.threads + SPARE_THREADS, self.entry)
         reports = Reports(dialect.ready_path, self._is_ready, self._status, self.metrics)
@@ -162,6 +171,7 @@
         for follower in self.followers:
             follower.start()
         self.registration.start()
+        self.held.start()
         for server in (self.report_server, self.server):
             server.prepare()
             threading.Thread(target=server.serve, daemon=True).start()
--- /dev/null
+++ b/packages/router/seamhold/forwarding/held.py
@@ -0,0 +1,98 @@
+"""Asks engines what they hold when a box starts.
+
+What boxes know of it is in their memory: after all of them restarted at once
+nobody knows.  Each box asks the engines that it ranks first for among the
+boxes, so that every engine is asked once, and the others hear of it.
+"""
+
+import json
+import threading
+from collections.abc import Callable
+
+import urllib3
+
+from seamhold_messages.fleet import Engine, Phase
+from seamhold_placement.rank import owners
+from seamhold_settings import Tree
+
+from ..decider import Decider
+from ..decisions import LearnHoldings
+from ..logs import logger
+from ..ports import BackendDialect
+
+#: Smaller parts are read again as quickly as they are fetched.
+TOKENS_MIN = 512
+READY_POLL_SECONDS = 0.1
+ASK_SECONDS = 1.0
+#: For boxes that start together to know of each other.
+SETTLE_SECONDS = 0.6
+
+
+def engines_to_ask(
+    me: str, live_boxes: list[str], engines: list[Engine], tree: Tree
+) -> list[Engine]:
+    """The engines that this box asks, of those that keep what they have read."""
+    keeping = {name for name, service in tree.fleet.services.items() if service.keeps_prompts}
+    return [
+        engine
+        for engine in engines
+        if engine.service in keeping
+        and engine.phase is Phase.LIVE
+        and owners(engine.name, live_boxes) == [me]
+    ]
+
+
+class HeldReader:
+    """The task that asks once, when the box has settings and lists."""
+
+    def __init__(
+        self,
+        me: str,
+        dialect: BackendDialect,
+        decider: Decider,
+        tree: Callable[[], Tree],
+        ready: Callable[[], bool],
+        live_boxes: Callable[[], tuple[str, ...]],
+    ):
+        self._me = me
+        self._dialect = dialect
+        self._decider = decider
+        self._tree = tree
+        self._ready = ready
+        self._live_boxes = live_boxes
+        self._log = logger('held')
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name='held', daemon=True)
+
+    def start(self) -> None:
+        """Begin to wait for settings and lists."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ask no more."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._ready():
+            if self._stopped.wait(READY_POLL_SECONDS):
+                return
+        if self._stopped.wait(SETTLE_SECONDS):
+            return
+        boxes = [*self._live_boxes()]
+        engines = self._decider.listed_engines or []
+        for engine in engines_to_ask(self._me, boxes, engines, self._tree()):
+            if self._stopped.is_set():
+                return
+            self._ask(engine)
+
+    def _ask(self, engine: Engine) -> None:
+        url = f'http://{engine.address}{self._dialect.held_path}'
+        try:
+            answer = urllib3.request('GET', url, timeout=ASK_SECONDS, retries=False)
+            parts = self._dialect.held(json.loads(answer.data))
+        except (urllib3.exceptions.HTTPError, ValueError, TypeError, KeyError) as error:
+            self._log.info('held.unknown', engine=engine.name, detail=repr(error))
+            return
+        chats = [part.id for part in parts if part.tokens >= TOKENS_MIN]
+        self._decider.send(LearnHoldings(engine.name, chats))
+        self._log.info('held.learned', engine=engine.name, chats=len(chats))
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -267,7 +267,12 @@
 
 
 class BackendDialect(Protocol):
-    """How backend servers are told of an attempt, and how they answer."""
+    """How backend servers are told of an attempt, and how they answer.
+
+    At `held_path` they tell which parts of prompts they keep.
+    """
+
+    held_path: str
 
     def headers(self, words: AttemptWords) -> dict[str, str]:
         """The headers that the box itself adds to the caller's."""
@@ -275,6 +280,12 @@
     def verdict(self, status: int, headers: Mapping[str, str], request_id: str) -> Verdict:
         """What the head of an answer says."""
 
+    def held(self, body: dict) -> list[PromptPart]:
+        """The parts of prompts that a backend server says it keeps.
+
+        Raises ValueError, TypeError or KeyError if that cannot be read.
+        """
+
 
 class Dialect(Protocol):
     """A platform's protocols together; found by its entry point's name."""
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -174,8 +174,7 @@
         if call.sticky:
             choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
         else:
-            nearest_first = sorted(candidates, key=lambda engine: not self._near(engine, serving))
-            choice = choose_least_loaded(nearest_first, totals, call.work)
+            choice = choose_least_loaded(candidates, call.work, self._near(serving))
         if choice is None:
             return None
         engine = serving.engines[choice.name]
@@ -198,9 +197,13 @@
             round(mean, 2),
         )
 
-    def _near(self, engine: Candidate, serving: Serving) -> bool:
-        """Whether an engine is in this box's failure domain."""
-        return serving.engines[engine.name].failure_domain == self._failure_domain
+    def _near(self, serving: Serving) -> set[str]:
+        """The engines in this box's failure domain."""
+        return {
+            name
+            for name, engine in serving.engines.items()
+            if engine.failure_domain == self._failure_domain
+        }
 
     @staticmethod
     def _other_holder(holders: list[str], first: str, chosen: str, serving: Serving) -> str:
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -114,12 +114,14 @@
 class FleetService(Strict):
     """A service that the fleet offers; `models` are the names callers use.
 
-    A backend server of it takes `connections` from all boxes together.
+    A backend server of it takes `connections` from all boxes together.  With
+    `keeps_prompts` it keeps what it has read of a prompt, and tells what that is.
     """
 
     kind: ServiceKind
     models: list[str] = []
     connections: int | None = Field(None, ge=1)
+    keeps_prompts: bool = False
     policy: Policy = Policy()
 
     @model_validator(mode='after')
