A box that starts asks engines 0.25 s after it has its lists

Boxes that restart find the whole list of boxes in the store, so the wait only matters at a first start, when engines hold nothing.

--- a/packages/router/seamhold/forwarding/held.py
+++ b/packages/router/seamhold/forwarding/held.py
@@ -25,7 +25,7 @@
 READY_POLL_SECONDS = 0.1
 ASK_SECONDS = 1.0
 #: For boxes that start together to know of each other.
-SETTLE_SECONDS = 0.6
+SETTLE_SECONDS = 0.25
 
 
 def engines_to_ask(
