--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,10 @@
 STAMP = $(VENV)/.installed
 PACKAGES = messages placement limits attempts membership settings platform peers routing router
 EDITABLE = $(foreach name,$(PACKAGES),-e ./packages/$(name)) -e ./standins -e ./platform
-SOURCES = packages platform standins tests scenarios models measure
+SOURCES = packages platform standins tests scenarios models measure soak
 BINARY = dist/seamhold
 
-.PHONY: install demo up test scenarios mutants models measure codestyle format generate lock binary check-binary clean
+.PHONY: install demo up test scenarios mutants models measure soak soak-short soak-known codestyle format generate lock binary check-binary clean
 
 install: $(STAMP)
 
@@ -40,6 +40,19 @@
 measure: install
 	$(BIN)/python -m measure
 
+# Some minutes of random faults, other ones each time; `make soak SEED=7 RUNS=1` plays one again.
+SEED ?= $(shell date +%s)
+RUNS ?= 10
+
+soak: install
+	$(BIN)/python -m soak --seed $(SEED) --runs $(RUNS)
+
+soak-short: install
+	$(BIN)/python -m soak --seed 1 --seconds 10
+
+soak-known: install
+	$(BIN)/python -m soak --known
+
 codestyle: install
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
--- a/standins/standins/engine.py
+++ b/standins/standins/engine.py
@@ -221,8 +221,16 @@
 class Engine(StandIn):
     """The stand-in's server; `slots` calls run at once."""
 
-    def __init__(self, port: int = 0, name: str = 'engine', slots: int = 64, cache: int = 200_000):
+    def __init__(
+        self,
+        port: int = 0,
+        name: str = 'engine',
+        slots: int = 64,
+        cache: int = 200_000,
+        ledger_file: str = '',
+    ):
         super().__init__(port, EngineHandler, EngineFaults())
+        self._ledger_file = ledger_file
         self.name = name
         self.slots = slots
         self.cache = PrefixCache(cache)
@@ -264,6 +272,13 @@
         """What the engine ran, in the order it began."""
         return [row.__dict__ for row in self.ledger]
 
+    def _note(self, row: LedgerRow) -> None:
+        """Write down what begins, for whoever reads after this process was killed."""
+        if self._ledger_file:
+            line = json.dumps({'mark': row.mark, 'at': time.time()})
+            with open(self._ledger_file, 'a', encoding='utf-8') as file:
+                file.write(line + '\n')
+
     def job(self, body: bytes, headers, faults: EngineFaults) -> Job:
         """Note the request in the ledger and work out its answer."""
         request = json.loads(body)
@@ -273,6 +288,7 @@
         )
         with self.lock:
             self.ledger.append(row)
+            self._note(row)
             prompt, cached = self.cache.reuse(
                 request.get('cache_salt', ''), request.get('messages', [])
             )
@@ -294,8 +310,9 @@
     parser.add_argument('--name', default='engine')
     parser.add_argument('--slots', type=int, default=64)
     parser.add_argument('--token-seconds', type=float, default=0.005)
+    parser.add_argument('--ledger', default='', help='file in which to note what begins to run')
     options = parser.parse_args()
-    server = Engine(options.port, options.name, options.slots)
+    server = Engine(options.port, options.name, options.slots, ledger_file=options.ledger)
     server.set_faults({'token_seconds': options.token_seconds})
     print(server.port, flush=True)
     server.serve_forever()
