The soak's proxy also resets a connection that is just being opened

Change: the mode is looked at again once the other side is open. Ruled out: the mode's event (the loop is one thread).

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -76,6 +76,11 @@
             self._reset(writer)
             return
         ends = {writer, there[1]}
+        if self._mode is Mode.RESET:
+            # It came while this connection was being opened.
+            for end in ends:
+                self._reset(end)
+            return
         self._open |= ends
         try:
             await asyncio.gather(
