--- a/packages/router/seamhold/cli/definition.py
+++ b/packages/router/seamhold/cli/definition.py
@@ -1,5 +1,6 @@
 """The commands, as fire shows them."""
 
+from json import dumps
 from pathlib import Path
 
 import yaml
@@ -15,6 +16,7 @@
 from ..context import Environment
 from ..dialects import find_dialect
 from ..editing import Applied, SettingsEditor, difference, split_path, to_yaml, tree_values
+from ..explaining import explain, read_line
 from ..logs import BoundedStream, setup_logs
 from ..status import ExitStatus
 from . import constants
@@ -146,6 +148,26 @@
         self._environment.say(f'stopping; {value["calls"]} calls to finish')
         return ExitStatus.SUCCESS
 
+    def explain(self, request_id: str, *logs: str, json: bool = False) -> ExitStatus:
+        """Tell from the boxes' LOGS what became of a request; leaves with 6 if none names it."""
+        if not logs:
+            raise UsageError('name the log files of the boxes')
+        lines = [
+            line
+            for path in logs
+            for text in _read_file(path).splitlines()
+            if (line := read_line(text, Path(path).name))
+        ]
+        story = explain(str(request_id), lines)
+        if story is None:
+            self._environment.say(
+                f'{request_id}: not in the {len(lines)} lines of {len(logs)} logs; '
+                'another box may have had it, or the logs are cut'
+            )
+            return ExitStatus.NOT_FOUND
+        self._environment.say(dumps(story.as_values()) if json else story.as_text())
+        return ExitStatus.SUCCESS
+
     def hash(self, key: str) -> ExitStatus:
         """Print a caller's KEY as the settings hold it."""
         self._environment.say(hash_key(str(key)))
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -41,7 +41,12 @@
 def plan_for(tree: Tree, service: str) -> ServicePlan:
     """What a tree says of placing the calls of `service`."""
     placement = tree.fleet.placement
-    bound = BoundPolicy(placement.admit_multiple, placement.floor_requests, placement.floor_tokens)
+    bound = BoundPolicy(
+        placement.admit_multiple,
+        placement.floor_requests,
+        placement.floor_tokens,
+        placement.slack_requests,
+    )
     offered = tree.fleet.services.get(service)
     queue_calls = offered.policy.queue_calls if offered else None
     if queue_calls is None:
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -137,14 +137,17 @@
     """The load bound and how engines come and go.
 
     `load_multiple` is promised, `admit_multiple` is what admission holds
-    to.  `patience` is how long a call waits for the engine that holds its
-    cache before it goes to another.  Times are in seconds.
+    to.  `slack_requests` are calls above it that chance alone brings, so that a
+    chat does not leave its engine for them.  `patience` is how long a call waits
+    for the engine that holds its cache before it goes to another.  Times are in
+    seconds.
     """
 
     load_multiple: float = Field(1.5, ge=1.05, le=10)
     admit_multiple: float = Field(1.25, ge=1.05, le=10)
     floor_requests: int = Field(2, ge=1)
     floor_tokens: int = Field(0, ge=0)
+    slack_requests: int = Field(0, ge=0, le=1000)
     peer_growth: float = Field(0.25, ge=0, le=1)
     patience: float = Field(0.1, ge=0, le=2)
     rising_seconds: float = Field(10.0, ge=0, le=600)
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,100 @@
+"""A request's story and its cause, from the lines that boxes log."""
+
+import json
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from seamhold.cli.definition import Commands
+from seamhold.explaining import explain, read_line
+from seamhold.status import ExitStatus
+
+ATTEMPT = {'engine': 'e1', 'outcome': 'done', 'code': '', 'seconds': 0.2}
+
+
+def line(event: str, at: str = '2026-12-02T10:00:00Z', **fields) -> str:
+    return json.dumps({'event': event, 'timestamp': at} | fields)
+
+
+def verdict(event: str, **fields) -> str:
+    return explain('r1', [read_line(line(event, request_id='r1', **fields), 'box-1')]).verdict
+
+
+class TestExplain(testtools.TestCase):
+    def test_answered(self):
+        told = verdict('call.answered', status=200, attempts=[ATTEMPT], seconds=0.3)
+        self.assertIn('Answered with 200 by e1 after 1 attempts', told)
+
+    def test_refused_before_anything_was_sent(self):
+        told = verdict('call.failed', code='no_engine', ran='no', cut=False, attempts=[])
+        self.assertEqual(
+            'Refused, nothing ran (no_engine): no engine of the service was live.', told
+        )
+
+    def test_refused_by_the_engines(self):
+        refused = ATTEMPT | {'outcome': 'engine_refused'}
+        told = verdict('call.failed', code='engine_refused', ran='no', attempts=[refused])
+        self.assertIn('no engine took it: e1 (engine_refused)', told)
+
+    def test_may_have_run(self):
+        failed = ATTEMPT | {'outcome': 'failed'}
+        told = verdict(
+            'call.failed',
+            code='engine_failed',
+            ran='unknown',
+            attempts=[failed],
+            repeatable=False,
+        )
+        self.assertIn('may have run', told)
+        self.assertIn('e1 ended it as failed', told)
+        self.assertIn('may not repeat', told)
+
+    def test_cut_by_the_engine_and_by_the_caller(self):
+        cut = {'ran': 'unknown', 'cut': True, 'attempts': [ATTEMPT]}
+        self.assertIn('e1 broke off', verdict('call.failed', code='answer_cut', **cut))
+        self.assertIn('its caller left', verdict('call.failed', code='caller_left', **cut))
+
+    def test_lines_of_many_boxes_come_in_time_order_with_what_was_believed(self):
+        texts = [
+            line('call.answered', '10:02', request_id='r1', status=200, attempts=[ATTEMPT]),
+            line('call.retry', '10:01', request_id='r1', engine='e1'),
+            line('belief.changed', '10:00', subject='e1', phase='suspect', source='compared'),
+            line('belief.changed', '10:00', subject='e9', phase='suspect', source='list'),
+            line('call.answered', '10:03', request_id='r2', status=200),
+            'not a line of a log',
+        ]
+        read = [found for text in texts if (found := read_line(f'  1.5 box-3 {text}', 'x.log'))]
+        story = explain('r1', read)
+        self.assertEqual(
+            ['belief.changed', 'call.retry', 'call.answered'], [item.event for item in story.lines]
+        )
+        self.assertEqual({'box-3'}, {item.where for item in story.lines})
+
+    def test_an_end_that_is_not_there_is_said(self):
+        lines = [
+            read_line(line('call.retry', request_id='r1', engine='e1'), 'x'),
+            read_line(line('logs.dropped', lines=7), 'x'),
+        ]
+        self.assertEqual(
+            'Its end is not in these logs; 7 lines were dropped.', explain('r1', lines).verdict
+        )
+        self.assertIsNone(explain('r9', lines))
+
+
+class TestCommand(testtools.TestCase):
+    def test_exit_codes_and_json(self):
+        said = []
+
+        class Speaking:
+            say = staticmethod(said.append)
+
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = f'{folder.name}/box-1.log'
+        Path(path).write_text(line('call.answered', request_id='r1', status=200) + '\n')
+        commands = Commands(Speaking())
+        self.assertEqual(ExitStatus.SUCCESS, commands.explain('r1', path, json=True))
+        self.assertEqual('r1', json.loads(said[-1])['request_id'])
+        self.assertEqual(ExitStatus.NOT_FOUND, commands.explain('r2', path))
+        self.assertIn('another box may have had it', said[-1])
