What one watch tells of a list is one version of it

Two entries went within 2 ms. One watch told both; each was handed on as a list of its own, both with the version at which the watch ended, and the second was passed over as not newer. It was gone for all boxes only with the next change, 4.2 s later.

Ruled out: entries kept after an outage (the store was stable from 10.0 s on, the server left at 15.2 s, and the other entry went at once).

Change: the list is handed on once, when the watch has told all. The test, two entries that go under one lock of the stand-in store, failed first (not gone after 1.5 s) and passes.

--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -110,6 +110,9 @@
         """One object changed."""
         raise NotImplementedError
 
+    def gathered(self) -> None:
+        """All changes that one watch told were given to `changed`."""
+
     def unreachable(self) -> None:
         """The platform did not answer; called after each failure."""
 
@@ -153,6 +156,8 @@
             if event.kind is not WatchKind.BOOKMARK:
                 changes = True
                 self.changed(event.kind, event.object)
+        if changes:
+            self.gathered()
         return changes
 
     def _note_lost(self, error: SeamholdError) -> None:
@@ -195,11 +200,14 @@
 
     def changed(self, kind: WatchKind, item: PlatformObject) -> None:
         """Replace or drop one item."""
+        self._note(kind, item)
+        self._deliver(list(self._items.values()))
+
+    def _note(self, kind: WatchKind, item: PlatformObject) -> None:
         if kind is WatchKind.DELETED:
             self._items.pop(item.name, None)
         else:
             self._put(item)
-        self._deliver(list(self._items.values()))
 
     def _put(self, item: PlatformObject) -> None:
         try:
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -151,6 +151,14 @@
         """Whether it is this box's turn."""
         return self._watch.wanted()
 
+    def changed(self, kind: WatchKind, item: PlatformObject) -> None:
+        """Replace or drop one item; what one watch tells is one version of the list."""
+        self._note(kind, item)
+
+    def gathered(self) -> None:
+        """Hand the list on as the watch left it."""
+        self._deliver_versioned(list(self._items.values()))
+
     def _deliver_versioned(self, items: list) -> None:
         known = self._known()
         if known is None or _by_name(items) != _by_name(known):
