--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -9,6 +9,7 @@
 import urllib3
 import yaml
 
+from standins.engine import streamed_words
 from standins.fleet import LocalFleet, wait_until
 
 KEY = 'kusina-demo-key'
@@ -46,12 +47,7 @@
         """The words of the answer, streamed or not."""
         if b'data: ' not in self.body:
             return json.loads(self.body)['choices'][0]['message']['content']
-        words = []
-        for line in self.body.decode().splitlines():
-            if line.startswith('data: {"id"'):
-                delta = json.loads(line.removeprefix('data: '))['choices'][0]['delta']
-                words.append(delta.get('content', ''))
-        return ''.join(words)
+        return streamed_words(self.body)
 
     @property
     def whole(self) -> bool:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,8 @@
 import time
 from dataclasses import dataclass, field
 
+from standins.engine import streamed_words
+
 from .fleet import SoakFleet
 
 KEY = 'kusina-demo-key'
@@ -65,12 +67,7 @@
         """The words of a good answer."""
         if not self.streamed:
             return json.loads(self.body)['choices'][0]['message']['content']
-        words = []
-        for line in self.body.decode().splitlines():
-            if line.startswith('data: {"id"'):
-                delta = json.loads(line.removeprefix('data: '))['choices'][0]['delta']
-                words.append(delta.get('content', ''))
-        return ''.join(words)
+        return streamed_words(self.body)
 
 
 @dataclass
--- a/standins/standins/engine.py
+++ b/standins/standins/engine.py
@@ -80,6 +80,16 @@
         return total, cached
 
 
+def streamed_words(body: bytes) -> str:
+    """The words of an answer that came as events, as its caller puts them together."""
+    words = []
+    for line in body.decode().splitlines():
+        if line.startswith('data: {"id"'):
+            delta = json.loads(line.removeprefix('data: '))['choices'][0]['delta']
+            words.append(delta.get('content', ''))
+    return ''.join(words)
+
+
 @dataclass
 class Job:
     """One request as the engine runs it."""
