--- a/packages/router/seamhold/explaining.py
+++ b/packages/router/seamhold/explaining.py
@@ -3,9 +3,13 @@
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from datetime import datetime, timedelta
 
 ENDS = ('call.answered', 'call.failed')
 BELIEF_EVENT = 'belief.changed'
+#: What was believed of a request's engines so long before and after it belongs
+#: to its story.
+BELIEF_SPAN = timedelta(seconds=5)
 #: Why a call that no engine was sent failed, by the code of its line.
 REFUSALS = {
     'not_ready': 'the box was starting or stopping',
@@ -95,11 +99,26 @@
     end = next((line for line in reversed(story.lines) if line.event in ENDS), None)
     story.verdict = _verdict(end, story.dropped)
     engines = {attempt['engine'] for attempt in _attempts(end)}
-    story.lines += [line for line in beliefs if line.fields.get('subject') in engines]
+    first, last = story.lines[0], story.lines[-1]
+    story.lines += [
+        line
+        for line in beliefs
+        if line.fields.get('subject') in engines and _near(line, first, last)
+    ]
     story.lines.sort(key=lambda line: line.at)
     return story
 
 
+def _near(line: LogLine, first: LogLine, last: LogLine) -> bool:
+    """Whether a line was written around the time between two others."""
+    try:
+        at, begin, end = (datetime.fromisoformat(one.at) for one in (line, first, last))
+        return begin - BELIEF_SPAN <= at <= end + BELIEF_SPAN
+    except (ValueError, TypeError):
+        # Lines without a readable time are shown rather than lost.
+        return True
+
+
 def _attempts(end: LogLine | None) -> list[dict]:
     return list(end.fields.get('attempts') or []) if end else []
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -57,11 +57,30 @@
 
     def test_lines_of_many_boxes_come_in_time_order_with_what_was_believed(self):
         texts = [
-            line('call.answered', '10:02', request_id='r1', status=200, attempts=[ATTEMPT]),
-            line('call.retry', '10:01', request_id='r1', engine='e1'),
-            line('belief.changed', '10:00', subject='e1', phase='suspect', source='compared'),
-            line('belief.changed', '10:00', subject='e9', phase='suspect', source='list'),
-            line('call.answered', '10:03', request_id='r2', status=200),
+            line(
+                'call.answered',
+                '2026-12-02T10:00:02Z',
+                request_id='r1',
+                status=200,
+                attempts=[ATTEMPT],
+            ),
+            line('call.retry', '2026-12-02T10:00:01Z', request_id='r1', engine='e1'),
+            line(
+                'belief.changed',
+                '2026-12-02T10:00:00Z',
+                subject='e1',
+                phase='suspect',
+                source='compared',
+            ),
+            line(
+                'belief.changed',
+                '2026-12-02T10:00:00Z',
+                subject='e9',
+                phase='suspect',
+                source='list',
+            ),
+            line('call.answered', '2026-12-02T10:00:03Z', request_id='r2', status=200),
+            line('belief.changed', '2026-12-02T09:50:00Z', subject='e1', phase='live'),
             'not a line of a log',
         ]
         read = [found for text in texts if (found := read_line(f'  1.5 box-3 {text}', 'x.log'))]
