Boxes know the load again after a partition: what all see is not told once by each

Each box told of each silent box and each failing engine as an event of its own, relayed 16 times by everyone: 6,320 and some 1,600 events of 55 bytes, eight in every digest. A round of telling at 8 KB/s then took longer than the 4 s after which a silent box's load is forgotten, which made more events.

Changed: an event is taken from as many origins as anyone needs (one that an engine leaves, three that a box is gone); that a box is gone is told only where some boxes are no neighbours; engines that fail are told as a state of the digest (8 bytes, 3 s) and not as events; four events a digest; holdings 40 a digest, 8 of the past to a peer that comes; a digest that does not fit a datagram leaves events and holdings out, where it was silently not sent before.

make generate found no plugin on the path: mended.

--- a/extras/generate.sh
+++ b/extras/generate.sh
@@ -2,6 +2,9 @@
 # Generates the code of the peer messages from their definition.
 set -eu
 python="$1"
+# The compiler looks for its plugin on the path.
+PATH="$(dirname "$python"):$PATH"
+export PATH
 out=packages/peers/seamhold_peers/generated
 "$python" -m grpc_tools.protoc -I packages/peers/proto \
     --python_out="$out" --grpclib_python_out="$out" peers.proto
--- a/packages/membership/seamhold_membership/box_view.py
+++ b/packages/membership/seamhold_membership/box_view.py
@@ -8,6 +8,7 @@
 
 from seamhold_messages.fleet import Box, Phase
 
+from .gossip import REPORTERS_FOR_GONE
 from .neighbours import neighbours
 
 
@@ -27,7 +28,6 @@
     neighbours told that they are gone.
     """
 
-    REPORTERS_FOR_GONE = 3
     GONE_SECONDS = 30.0
 
     def __init__(self, me: str, silent_seconds: float = 4.0):
@@ -102,12 +102,17 @@
             silent = now - state.heard_at > self.silent_seconds
             return Phase.SUSPECT if silent else Phase.LIVE
         reports = sum(now < until for until in state.gone_reporters.values())
-        return Phase.SUSPECT if reports >= self.REPORTERS_FOR_GONE else Phase.LIVE
+        return Phase.SUSPECT if reports >= REPORTERS_FOR_GONE else Phase.LIVE
 
     def peers(self) -> list[Box]:
         """All other boxes that are listed."""
         return [state.box for state in self._states.values()]
 
+    @property
+    def all_are_neighbours(self) -> bool:
+        """Whether every box sees for itself which others fall silent."""
+        return len(self._neighbours) == len(self._states)
+
     def neighbours(self) -> list[Box]:
         """The boxes that this one tells and hears."""
         return [self._states[name].box for name in self._neighbours]
--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -10,7 +10,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 
-from seamhold_messages.work import NO_WORK, Holding, Usage, Work
+from seamhold_messages.work import NO_WORK, Holding, Suspect, Usage, Work
 
 from .gossip import Event
 
@@ -29,7 +29,8 @@
     engines read which chats lately, as far as it is new.  The versions tell
     how new the platform's lists are there, 0 if that is not known, and
     `store_lost` that the platform does not serve that box.  `failures` counts
-    the calls that failed lately, by engine.
+    the calls that failed lately, by engine; `suspects` are the engines that
+    the box's own calls lately found failing.
     """
 
     box: str
@@ -48,6 +49,7 @@
     boxes_version: int = 0
     store_lost: bool = False
     failures: dict[str, int] = field(default_factory=dict)
+    suspects: tuple[Suspect, ...] = ()
 
     @property
     def full(self) -> bool:
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field, replace
 
 from seamhold_messages.fleet import Engine, Phase
+from seamhold_messages.hashing import hash32
+from seamhold_messages.work import Suspect
 
 #: Share of its weight a newly seen engine starts with, and the steps to 1.
 RISING_STEPS = (0.25, 0.5, 0.75)
@@ -19,6 +21,7 @@
     engine: Engine
     since: float
     rising: bool = False
+    suspect_since: float = -math.inf
     suspect_until: float = 0.0
     flaps: int = 0
     #: Evidence against it since its last whole answer.
@@ -63,6 +66,8 @@
     OUTLIER_MEMORY_SECONDS = 10.0
     REPORTERS_FOR_SUSPECT = 3
     REPORT_SECONDS = 5.0
+    #: How long peers are told of a suspicion: some rounds of telling.
+    TELL_SECONDS = 3.0
 
     def __init__(self, rising_seconds: float = 10.0, suspect_seconds: float = 2.0):
         self.rising_seconds = rising_seconds
@@ -127,6 +132,7 @@
         if state.evidence < self.EVIDENCE_MAX:
             return False
         state.flaps = min(state.flaps + 1, self.FLAPS_MAX)
+        state.suspect_since = now
         state.suspect_until = now + self.suspect_seconds * 2 ** (state.flaps - 1)
         self._serving.clear()
         return True
@@ -139,6 +145,7 @@
         state.evidence = 0.0
         if state.flaps or state.reporters:
             state.flaps = 0
+            state.suspect_since = -math.inf
             state.suspect_until = 0.0
             state.reporters.clear()
             self._serving.clear()
@@ -159,12 +166,24 @@
         self._serving.clear()
         return True
 
-    def reported_failing(self, name: str, incarnation: str, box: str, now: float) -> None:
-        """Peer `box` told that its calls to the engine fail."""
-        state = self._states.get(name)
-        if state is not None and state.engine.incarnation == incarnation:
-            state.reporters[box] = now + self.REPORT_SECONDS
+    def new_suspects(self, now: float) -> tuple[Suspect, ...]:
+        """Engines that this box's own calls found failing a short while ago."""
+        return tuple(
+            Suspect(name, hash32(state.engine.incarnation))
+            for name, state in self._states.items()
+            if now < state.suspect_since + self.TELL_SECONDS
+        )
+
+    def reported_failing(self, suspect: Suspect, box: str, now: float) -> bool:
+        """Peer `box` told that its calls to the engine fail; True if that is new."""
+        state = self._states.get(suspect.engine)
+        if state is None or hash32(state.engine.incarnation) != suspect.incarnation_key:
+            return False
+        is_new = state.reporters.get(box, -math.inf) <= now
+        state.reporters[box] = now + self.REPORT_SECONDS
+        if is_new:
             self._serving.clear()
+        return is_new
 
     def phase(self, name: str, now: float) -> Phase:
         """The phase this box gives the engine."""
--- a/packages/membership/seamhold_membership/gossip.py
+++ b/packages/membership/seamhold_membership/gossip.py
@@ -5,6 +5,9 @@
 event is relayed a number of times that grows with the logarithm of the
 fleet, as in the SWIM protocol's piggybacked dissemination (Das, Gupta and
 Motivala), and then kept only to recognise repeats.
+
+What all boxes see at the same moment must not be told once by each of them:
+a subject's events are taken from as many origins as anyone needs.
 """
 
 import math
@@ -18,10 +21,20 @@
 
     ENGINE_LEAVING = 1
     BOX_LEAVING = 2
-    ENGINE_FAILING = 3
+    # 3 was an engine that fails: digests carry it as a state.
     BOX_GONE = 4
 
 
+#: Boxes that have to tell that another is gone before it is believed.
+REPORTERS_FOR_GONE = 3
+#: Origins of whom an event is taken and relayed; the others tell nothing new.
+ORIGINS_MAX = {
+    EventKind.ENGINE_LEAVING: 1,
+    EventKind.BOX_LEAVING: 1,
+    EventKind.BOX_GONE: REPORTERS_FOR_GONE,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """One exception; `origin` is the box that saw it."""
@@ -31,6 +44,11 @@
     incarnation: str
     origin: str = ''
 
+    @property
+    def what(self) -> tuple[EventKind, str, str]:
+        """What happened, whoever saw it."""
+        return (self.kind, self.subject, self.incarnation)
+
 
 class EventLog:
     """Events to relay, and those already seen."""
@@ -39,16 +57,18 @@
     RELAY_FACTOR = 2
 
     def __init__(self):
-        self._seen: OrderedDict[Event, None] = OrderedDict()
+        #: The origins of what happened.
+        self._seen: OrderedDict[tuple[EventKind, str, str], set[str]] = OrderedDict()
         self._relays: dict[Event, int] = {}
         #: How many events were new here, for whoever wants to tell at once.
         self.taken = 0
 
     def add(self, event: Event, boxes: int) -> bool:
-        """Take note of `event`; False if it was known."""
-        if event in self._seen:
+        """Take note of `event`; False if it was known, or enough boxes told it."""
+        origins = self._seen.setdefault(event.what, set())
+        if event.origin in origins or len(origins) >= ORIGINS_MAX[event.kind]:
             return False
-        self._seen[event] = None
+        origins.add(event.origin)
         self.taken += 1
         while len(self._seen) > self.SEEN_MAX:
             self._seen.popitem(last=False)
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -70,6 +70,14 @@
     engine: str
 
 
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """An engine at which calls fail; `incarnation_key` is a 32-bit hash of its start."""
+
+    engine: str
+    incarnation_key: int
+
+
 @dataclass(frozen=True, slots=True)
 class Placed:
     """The call goes to `engine`, which stands at `rank` for its chat.
--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -15,7 +15,7 @@
 from seamhold_messages.errors import error_from
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import Holding, Usage, Work
+from seamhold_messages.work import Holding, Suspect, Usage, Work
 from seamhold_settings.versions import Candidate
 
 from .calls import (
@@ -109,6 +109,9 @@
     for name, count in digest.failures.items():
         part.failing_engines.append(NameTable.key(name))
         part.failed_calls.append(count)
+    for suspect in digest.suspects:
+        part.suspect_engines.append(NameTable.key(suspect.engine))
+        part.suspect_incarnations.append(suspect.incarnation_key)
     return part
 
 
@@ -177,6 +180,13 @@
             for key, count in zip(part.failing_engines, part.failed_calls, strict=False)
             if (name := names.name(key))
         },
+        tuple(
+            Suspect(name, incarnation_key)
+            for key, incarnation_key in zip(
+                part.suspect_engines, part.suspect_incarnations, strict=False
+            )
+            if (name := names.name(key))
+        ),
     )
 
 
--- a/packages/peers/seamhold_peers/datagrams.py
+++ b/packages/peers/seamhold_peers/datagrams.py
@@ -2,20 +2,31 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from seamhold_membership import Digest
 
 from .codec import MESSAGE_OVERHEAD_BYTES, DigestReader, NameTable, encode_digest
 
-#: Larger ones would be split on the way; digests are far smaller.
+#: Larger ones are split on the way, and one lost part loses the whole.
 DATAGRAM_MAX_BYTES = 1400
+#: UDP carries no more.
+UDP_MAX_BYTES = 65_000
 
 
 class EncodedDigest:
-    """A digest ready to be sent; `size` counts the headers."""
+    """A digest ready to be sent; `size` counts the headers.
+
+    `digest` is what is told: of one that does not fit a datagram the news that
+    comes again or that others tell too is left out.
+    """
 
     def __init__(self, digest: Digest):
+        self.digest = digest
         self.data = encode_digest(digest).SerializeToString()
+        if len(self.data) > DATAGRAM_MAX_BYTES:
+            self.digest = replace(digest, events=[], held=())
+            self.data = encode_digest(self.digest).SerializeToString()
         self.size = len(self.data) + MESSAGE_OVERHEAD_BYTES
 
 
@@ -52,7 +63,7 @@
     def send(self, encoded: EncodedDigest, address: str) -> None:
         """Send to `ip:port`; a full buffer loses it."""
         host, _, port = address.rpartition(':')
-        if self._transport is not None and len(encoded.data) <= DATAGRAM_MAX_BYTES:
+        if self._transport is not None and len(encoded.data) <= UDP_MAX_BYTES:
             self._transport.sendto(encoded.data, (host, int(port)))
 
     def close(self) -> None:
--- a/packages/placement/seamhold_placement/holders.py
+++ b/packages/placement/seamhold_placement/holders.py
@@ -16,8 +16,10 @@
 KEEP_SECONDS = 60.0
 #: Chats that are remembered at most; the one that was used least lately goes.
 CHATS_MAX = 100_000
-#: Holdings that one message carries at most.
-TELL_MAX = 64
+#: Holdings that one message carries at most: load has to be told beside them.
+TELL_MAX = 40
+#: Of what was news before a peer came, so many are told to it.
+TELL_NEW_PEER = 8
 #: Messages to a peer that carry the same news: one of them may be lost.
 TELL_TIMES = 2
 #: News that is kept for peers that have not been told yet.
@@ -79,7 +81,7 @@
         ends = self._told.get(peer)
         if ends is None:
             # What was news long before is in the holdings that a new peer asks for.
-            start = max(0, self._news_count - TELL_MAX)
+            start = max(0, self._news_count - TELL_NEW_PEER)
             ends = self._told[peer] = deque([start] * TELL_TIMES, maxlen=TELL_TIMES)
         oldest = self._news_count - len(self._news)
         first = max(ends[0], oldest)
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -308,7 +308,7 @@
         self._port.send(encoded, client.address)
         self._metrics.count('control.bytes', encoded.size)
         self._metrics.count('control.messages')
-        self._decider.send(DigestSent(digest))
+        self._decider.send(DigestSent(encoded.digest))
         return True
 
     def _heard(self, digest: Digest) -> None:
--- a/packages/routing/seamhold_routing/beliefs.py
+++ b/packages/routing/seamhold_routing/beliefs.py
@@ -12,7 +12,6 @@
 #: What an event makes of its subject.
 EVENT_PHASES = {
     EventKind.ENGINE_LEAVING: Phase.LEAVING,
-    EventKind.ENGINE_FAILING: Phase.SUSPECT,
     EventKind.BOX_LEAVING: Phase.LEAVING,
     EventKind.BOX_GONE: Phase.GONE,
 }
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -31,7 +31,7 @@
 from .watchers import store_away, watches
 
 #: Events that one digest carries at most.
-EVENTS_PER_DIGEST = 8
+EVENTS_PER_DIGEST = 4
 NO_ENGINE_RETRY_SECONDS = 1.0
 #: After an outage of the platform its list is whole again within this time.
 LIST_RECOVERY_SECONDS = 2.0
@@ -129,7 +129,7 @@
             self.loads.set_peer(digest.box, whole.loads)
             self.limits.set_peer(digest.box, whole.usage, whole.ack)
         self.holders.heard(digest.held, now)
-        self.health.failures.told(digest.box, digest.failures, now)
+        self._hear_of_failures(digest, now)
         if digest.leaving:
             event = Event(EventKind.BOX_LEAVING, digest.box, digest.incarnation, digest.box)
             self._take_event(event, now)
@@ -137,6 +137,12 @@
             self._take_event(event, now)
         return self._drain_queues(now)
 
+    def _hear_of_failures(self, digest: Digest, now: float) -> None:
+        self.health.failures.told(digest.box, digest.failures, now)
+        for suspect in digest.suspects:
+            if self.engines.reported_failing(suspect, digest.box, now):
+                self.beliefs.append(Belief(suspect.engine, Phase.SUSPECT, digest.box))
+
     def _take_event(self, event: Event, now: float) -> None:
         if not self.events.add(event, len(self.boxes.peers()) + 1):
             return
@@ -144,8 +150,6 @@
         self.beliefs.append(belief_from(event))
         if event.kind is EventKind.ENGINE_LEAVING:
             self.engines.leaving(event.subject, event.incarnation)
-        elif event.kind is EventKind.ENGINE_FAILING:
-            self.engines.reported_failing(event.subject, event.incarnation, event.origin, now)
         elif event.kind is EventKind.BOX_LEAVING:
             self.boxes.leaving(event.subject, event.incarnation)
         elif event.kind is EventKind.BOX_GONE:
@@ -241,11 +245,7 @@
     def _note_outcome(self, engine: str, outcome: Outcome, now: float) -> None:
         self.counts[f'outcome.{outcome}'] += 1
         if self.health.ended(engine, outcome, now):
-            listed = self.engines.get(engine)
             self.beliefs.append(Belief(engine, Phase.SUSPECT, self.box))
-            if listed is not None:
-                event = Event(EventKind.ENGINE_FAILING, engine, listed.incarnation, self.box)
-                self.events.add(event, len(self.boxes.peers()) + 1)
 
     def again(self, call_id: str, now: float) -> list[Decision]:
         """Place a call anew, away from the engine of its last attempt."""
@@ -312,6 +312,9 @@
             self.beliefs.append(Belief(name, Phase.GONE, LIST_SOURCE))
 
     def _tell_gone(self, name: str, now: float) -> None:
+        """Tell boxes that do not hear a neighbour themselves that it fell silent."""
+        if self.boxes.all_are_neighbours:
+            return
         box = self.boxes.get(name)
         if box is not None and box.incarnation:
             self._take_event(Event(EventKind.BOX_GONE, name, box.incarnation, self.box), now)
@@ -382,6 +385,7 @@
             events=self.events.pending(EVENTS_PER_DIGEST),
             held=self.holders.news_for(peer),
             failures=self.health.failures.own(now),
+            suspects=self.engines.new_suspects(now),
         )
         ack = self._receiver.last(peer)
         message = self._sender.next_for(peer, digest, ack)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -21,10 +21,13 @@
     FailureCounts,
     outliers,
 )
+from seamhold_membership.gossip import REPORTERS_FOR_GONE
 from seamhold_membership.neighbours import neighbours
 from seamhold_messages.fleet import Box, Engine, Phase
-from seamhold_messages.work import Usage, Work
+from seamhold_messages.hashing import hash32
+from seamhold_messages.work import Holding, Suspect, Usage, Work
 from seamhold_peers import DigestReader, EncodedDigest, NameTable
+from seamhold_peers.datagrams import DATAGRAM_MAX_BYTES
 
 
 def engine(name='e', incarnation='1', phase=Phase.LIVE):
@@ -154,13 +157,31 @@
     def test_reports_of_several_boxes_count(self):
         view = EngineView()
         view.set_list([engine('a'), engine('b')], 0.0)
+        suspect = Suspect('a', hash32('1'))
         for box in ('box-1', 'box-2'):
-            view.reported_failing('a', '1', box, 0.0)
+            view.reported_failing(suspect, box, 0.0)
         self.assertEqual(Phase.LIVE, view.phase('a', 0.1))
-        view.reported_failing('a', '1', 'box-3', 0.0)
+        self.assertTrue(view.reported_failing(suspect, 'box-3', 0.0))
         self.assertEqual({'b'}, set(view.serving('s', 0.1).engines))
         self.assertEqual({'a', 'b'}, set(view.serving('s', 6.0).engines))
 
+    def test_a_report_of_an_earlier_start_says_nothing(self):
+        view = EngineView()
+        view.set_list([engine('a')], 0.0)
+        self.assertFalse(view.reported_failing(Suspect('a', hash32('0')), 'box-1', 0.0))
+        self.assertFalse(view.reported_failing(Suspect('b', hash32('1')), 'box-1', 0.0))
+
+    def test_peers_are_told_of_a_suspicion_for_a_short_while(self):
+        view = EngineView()
+        view.set_list([engine('a')], 0.0)
+        self.assertTrue(view.failed('a', 1.0))
+        self.assertEqual((Suspect('a', hash32('1')),), view.new_suspects(2.0))
+        self.assertEqual((), view.new_suspects(1.0 + EngineView.TELL_SECONDS))
+        view.failed('a', 9.0)
+        self.assertEqual(1, len(view.new_suspects(9.5)))
+        view.answered('a')
+        self.assertEqual((), view.new_suspects(9.6))
+
 
 class TestBoxView(testtools.TestCase):
     def test_silence_is_suspicion(self):
@@ -227,6 +248,14 @@
         self.assertGreaterEqual(relays, 7)
         self.assertFalse(log.add(event, 8))
 
+    def test_what_all_boxes_see_is_not_told_once_by_each(self):
+        log = EventLog()
+        leaving = [Event(EventKind.ENGINE_LEAVING, 'e', '1', f'box-{n}') for n in range(80)]
+        self.assertEqual(1, sum(log.add(event, 80) for event in leaving))
+        gone = [Event(EventKind.BOX_GONE, 'b', '1', f'box-{n}') for n in range(80)]
+        self.assertEqual(REPORTERS_FOR_GONE, sum(log.add(event, 80) for event in gone))
+        self.assertTrue(log.add(Event(EventKind.ENGINE_LEAVING, 'e', '2', 'box-1'), 80))
+
     def test_the_gravest_go_first(self):
         log = EventLog()
         log.add(Event(EventKind.BOX_GONE, 'b', '1'), 8)
@@ -315,6 +344,20 @@
         self.assertIsNone(receiver.hear(Digest('box', '2', seq=10, base=9)))
         self.assertEqual({}, receiver.hear(Digest('box', '2', seq=1)).loads)
 
+    def test_what_peers_need_least_is_left_out_of_a_datagram_that_is_too_large(self):
+        names = NameTable()
+        names.add(f'e{number}' for number in range(60))
+        loads = {f'e{number}': Work(1, 1) for number in range(60)}
+        held = tuple(Holding(number, 'e1') for number in range(64))
+        events = [Event(EventKind.BOX_GONE, 'b' * 90, '1' * 20, 'c' * 90)] * 4
+        whole = Digest('box', '1', loads=loads, events=events, held=held)
+        encoded = EncodedDigest(whole)
+        self.assertLessEqual(len(encoded.data), DATAGRAM_MAX_BYTES)
+        self.assertEqual(loads, DigestReader(names).read(encoded.data).loads)
+        self.assertEqual(([], ()), (encoded.digest.events, encoded.digest.held))
+        small = EncodedDigest(replace(whole, held=held[:3], events=[]))
+        self.assertEqual(held[:3], small.digest.held)
+
     def test_what_is_no_digest_is_not_read(self):
         reader = DigestReader(NameTable())
         for data in (b'', b'\xff\xff\xff', b'\x0a\xff', bytes(50)):
