What a box tells its peers stands in a module of its own; a lone box looks for others for a while only

Cause: router.py had grown to 404 lines with two jobs, placing calls and telling peers; the two followers of lists were built with nine like arguments each; a box that stays alone read the list of boxes fresh every 0.7 s for good. Changed: routing/exchange.py (139 lines) holds digests, events and silent boxes, router.py 334; ListSource carries what both followers share; after 20 readings a lone box reads as the others do.

--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -127,8 +127,7 @@
         return self._engines_version, self._boxes_version
 
     def _note_events(self) -> None:
-        beliefs, self._router.beliefs = self._router.beliefs, []
-        for belief in beliefs:
+        for belief in self._router.take_beliefs():
             self.log.info(
                 'belief.changed', subject=belief.subject, phase=belief.phase, source=belief.source
             )
@@ -222,7 +221,7 @@
         self._router.digest_sent(message.digest)
 
     def _leaving(self, message: Leaving) -> None:
-        self._router.leaving = True
+        self._router.exchange.leaving = True
 
     def _report(self, message: WantReport) -> DeciderReport:
         now = self._clock()
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -28,7 +28,13 @@
 from ..status import ExitStatus
 from .backends import BackendConnections
 from .entry import ForwardingEntry, ForwardingServer
-from .followers import PolledListFollower, StoreWatch, TreeFollower, VersionedListFollower
+from .followers import (
+    ListSource,
+    PolledListFollower,
+    StoreWatch,
+    TreeFollower,
+    VersionedListFollower,
+)
 from .held import HeldReader
 from .peer_handler import ForwardingPeerHandler
 from .registration import Registration
@@ -99,28 +105,21 @@
             self.dialect.tree,
             self.config.fleet_defaults(),
         )
+        source = ListSource(self.store, self.metrics, chance, watch, self.peering.ask_for_lists)
         engines = VersionedListFollower(
             ObjectKind.ENGINES,
-            self.store,
-            self.metrics,
-            chance,
-            watch,
+            source,
             self.dialect.engine,
             self._engines_changed,
             lambda: self.decider.listed_engines,
-            self.peering.ask_for_lists,
         )
         # Peers notice each other's silence before the list does.
         boxes = PolledListFollower(
             ObjectKind.BOXES,
-            self.store,
-            self.metrics,
-            chance,
-            watch,
+            source,
             self.dialect.box,
             lambda boxes, version: self.decider.send(SetBoxes(boxes, version)),
             lambda: self.decider.listed_boxes,
-            self.peering.ask_for_lists,
         )
         return [tree, engines, boxes]
 
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -6,6 +6,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from seamhold_platform import ObjectKind, PlatformObject, WatchKind
 from seamhold_settings import Candidate, Step
@@ -25,9 +26,11 @@
 NOT_WATCHING_SECONDS = 0.1
 #: Servers and settings change in bursts: one call brings what came together.
 GATHER_SECONDS = 0.2
-#: How often a list that is not watched is read, and while it names nobody else.
+#: How often a list that is not watched is read; more often at the start, for a
+#: while, until it names others.
 POLL_SECONDS = 3.0
 ALONE_POLL_SECONDS = 0.7
+ALONE_POLLS = 20
 
 
 class StoreWatch:
@@ -116,12 +119,22 @@
             self.log.error('settings.invalid', version=item.version)
 
 
+@dataclass(frozen=True, slots=True)
+class ListSource:
+    """Where lists come from: the store while it serves this box, else other boxes."""
+
+    store: ObjectStore
+    metrics: Metrics
+    chance: random.Random
+    watch: StoreWatch
+    ask_boxes: Callable[[], None]
+
+
 class VersionedListFollower(ListFollower):
     """Follows a list whose versions are numbers that only grow.
 
     `deliver` gets the whole list and the number of the state it shows, unless
-    it is what this box has in use, which `known` gives.  `unreachable` asks the
-    other boxes instead.
+    it is what this box has in use, which `known` gives.
     """
 
     watch_seconds = WATCH_SECONDS
@@ -132,24 +145,21 @@
     def __init__(
         self,
         kind: ObjectKind,
-        store: ObjectStore,
-        metrics: Metrics,
-        chance: random.Random,
-        watch: StoreWatch,
+        source: ListSource,
         read: Callable[[PlatformObject], object],
         deliver: Callable[[list, int], None],
         known: Callable[[], list | None],
-        ask_boxes: Callable[[], None],
     ):
-        super().__init__(kind, store, metrics, chance, read, self._deliver_versioned)
-        self._watch = watch
+        super().__init__(
+            kind, source.store, source.metrics, source.chance, read, self._deliver_versioned
+        )
+        self._source = source
         self._deliver_to = deliver
         self._known = known
-        self._ask_boxes = ask_boxes
 
     def wanted(self) -> bool:
         """Whether it is this box's turn."""
-        return self._watch.wanted()
+        return self._source.watch.wanted()
 
     def changed(self, kind: WatchKind, item: PlatformObject) -> None:
         """Replace or drop one item; what one watch tells is one version of the list."""
@@ -166,7 +176,7 @@
 
     def unreachable(self) -> None:
         """The platform did not answer this box; others may know more."""
-        self._ask_boxes()
+        self._source.ask_boxes()
 
 
 class PolledListFollower(VersionedListFollower):
@@ -176,15 +186,24 @@
     know each other yet.
     """
 
+    _alone_polls = 0
+
     def _follow(self) -> None:
         while not self._stopped.is_set() and self.wanted():
-            alone = len(self._known() or []) <= 1
+            alone = self._looks_for_others()
             page = self.platform.list(self.kind, stale=not alone)
             self._note_regained()
             self.version = page.version
             self.listed(page.objects)
             self._stopped.wait(ALONE_POLL_SECONDS if alone else POLL_SECONDS)
 
+    def _looks_for_others(self) -> bool:
+        """Whether this box knows no other, and has not looked for long."""
+        if len(self._known() or []) > 1:
+            return False
+        self._alone_polls += 1
+        return self._alone_polls <= ALONE_POLLS
+
 
 def _by_name(items: list) -> dict:
     return {item.name: item for item in items}
--- /dev/null
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -0,0 +1,139 @@
+"""What one box tells its peers, and what it takes from what they tell."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from seamhold_limits import WorkspaceLimits
+from seamhold_membership import (
+    BoxView,
+    Digest,
+    DigestReceiver,
+    DigestSender,
+    EngineView,
+    Event,
+    EventKind,
+    EventLog,
+)
+from seamhold_messages.fleet import Phase
+from seamhold_placement import HolderTable, LoadTable
+
+from .beliefs import Belief, belief_from
+from .health import EngineHealth
+
+#: Events that one digest carries at most.
+EVENTS_PER_DIGEST = 4
+
+
+@dataclass(slots=True)
+class Knowledge:
+    """What one box knows of the fleet, by itself and from its peers."""
+
+    boxes: BoxView
+    engines: EngineView
+    health: EngineHealth
+    loads: LoadTable
+    holders: HolderTable
+    limits: WorkspaceLimits
+    events: EventLog = field(default_factory=EventLog)
+    counts: Counter[str] = field(default_factory=Counter)
+    #: Changes of belief since they were last taken, for the logs.
+    beliefs: list[Belief] = field(default_factory=list)
+
+
+class PeerExchange:
+    """Makes a box's digests out of what it knows, and adds what peers tell to it."""
+
+    def __init__(self, box: str, incarnation: str, known: Knowledge):
+        self.leaving = False
+        self._box = box
+        self._incarnation = incarnation
+        self._known = known
+        self._sender = DigestSender()
+        self._receiver = DigestReceiver()
+
+    # What peers tell.
+
+    def hear(self, digest: Digest, now: float) -> None:
+        """A peer told its state."""
+        known = self._known
+        if known.boxes.heard(digest.box, digest.incarnation, now, digest.store_lost):
+            self._sender.forget(digest.box)
+            known.limits.peer_forgot(digest.box)
+            known.holders.forget_peer(digest.box)
+        self._sender.heard(digest.box, digest.ack)
+        whole = self._receiver.hear(digest)
+        if whole is not None:
+            known.loads.set_peer(digest.box, whole.loads)
+            known.limits.set_peer(digest.box, whole.usage, whole.ack)
+        known.holders.heard(digest.held, now)
+        self._hear_of_failures(digest, now)
+        if digest.leaving:
+            self.note(Event(EventKind.BOX_LEAVING, digest.box, digest.incarnation, digest.box), now)
+        for event in digest.events:
+            self.note(event, now)
+
+    def _hear_of_failures(self, digest: Digest, now: float) -> None:
+        known = self._known
+        known.health.failures.told(digest.box, digest.failures, now)
+        for suspect in digest.suspects:
+            if known.engines.reported_failing(suspect, digest.box, now):
+                known.beliefs.append(Belief(suspect.engine, Phase.SUSPECT, digest.box))
+
+    def note(self, event: Event, now: float) -> None:
+        """Believe an exception that this box saw or a peer told, and relay it."""
+        known = self._known
+        if not known.events.add(event, len(known.boxes.peers()) + 1):
+            return
+        known.counts[f'event.{event.kind.name.lower()}'] += 1
+        known.beliefs.append(belief_from(event))
+        if event.kind is EventKind.ENGINE_LEAVING:
+            known.engines.leaving(event.subject, event.incarnation)
+        elif event.kind is EventKind.BOX_LEAVING:
+            known.boxes.leaving(event.subject, event.incarnation)
+        elif event.kind is EventKind.BOX_GONE:
+            known.boxes.reported_gone(event.subject, event.origin, now)
+
+    def forget_silent(self, now: float) -> None:
+        """What silent neighbours told is void; the others may have to hear of it."""
+        for name in self._known.boxes.silent(now):
+            self._tell_gone(name, now)
+            self._known.loads.drop_peer(name)
+            self._known.holders.forget_peer(name)
+            self._receiver.forget(name)
+            self._sender.forget(name)
+
+    def _tell_gone(self, name: str, now: float) -> None:
+        """Tell boxes that do not hear a neighbour themselves that it fell silent."""
+        if self._known.boxes.all_are_neighbours:
+            return
+        box = self._known.boxes.get(name)
+        if box is not None and box.incarnation:
+            self.note(Event(EventKind.BOX_GONE, name, box.incarnation, self._box), now)
+
+    # What this box tells.
+
+    def digest_for(self, peer: str, settings_total: int, settings_print: int, now: float) -> Digest:
+        """The next message to `peer`."""
+        known = self._known
+        digest = Digest(
+            self._box,
+            self._incarnation,
+            leaving=self.leaving,
+            loads=known.loads.own(),
+            usage=known.limits.usage(now),
+            settings_total=settings_total,
+            settings_print=settings_print,
+            events=known.events.pending(EVENTS_PER_DIGEST),
+            held=known.holders.news_for(peer),
+            failures=known.health.failures.own(now),
+            suspects=known.engines.new_suspects(now),
+        )
+        message = self._sender.next_for(peer, digest, self._receiver.last(peer))
+        # Counted as told even if it is not sent: that only delays a share.
+        known.limits.digest_sent(peer, message.seq, digest.usage)
+        return message
+
+    def digest_sent(self, digest: Digest) -> None:
+        """A message went out."""
+        self._known.loads.digest_sent()
+        self._known.events.relayed(digest.events)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -4,34 +4,23 @@
 owns one of these; a test or a measurement drives it with a hand-set clock.
 """
 
-from collections import Counter
 from dataclasses import dataclass, replace
 
 from seamhold_attempts.retry import Outcome
 from seamhold_limits import WorkspaceCaps, WorkspaceLimits
-from seamhold_membership import (
-    BoxView,
-    Digest,
-    DigestReceiver,
-    DigestSender,
-    EngineView,
-    Event,
-    EventKind,
-    EventLog,
-)
+from seamhold_membership import BoxView, Digest, EngineView, Event, EventKind
 from seamhold_messages.errors import NoEngine, SeamholdError
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
 from seamhold_placement import Chooser, HolderTable, LoadTable, choose
 from seamhold_settings import Tree
 
-from .beliefs import LIST_SOURCE, OUTLIER_SOURCE, Belief, belief_from, changes
+from .beliefs import LIST_SOURCE, OUTLIER_SOURCE, Belief, changes
+from .exchange import Knowledge, PeerExchange
 from .health import EngineHealth
 from .service import ServiceRouter, plan_for
 from .watchers import store_away, watches
 
-#: Events that one digest carries at most.
-EVENTS_PER_DIGEST = 4
 NO_ENGINE_RETRY_SECONDS = 1.0
 #: After an outage of the platform its list is whole again within this time.
 LIST_RECOVERY_SECONDS = 2.0
@@ -62,13 +51,8 @@
     ):
         self.box = box
         self.failure_domain = failure_domain
-        self.incarnation = incarnation
-        self.leaving = False
         #: Whether the platform does not serve this box.
         self.store_lost = False
-        self.counts: Counter[str] = Counter()
-        #: Changes of belief since they were last taken, for the logs.
-        self.beliefs: list[Belief] = []
         self.tree = Tree()
         self.engines = EngineView()
         self.health = EngineHealth(self.engines)
@@ -77,11 +61,15 @@
         self.holders = HolderTable()
         self._chooser = chooser
         self.limits = WorkspaceLimits(box)
-        self.events = EventLog()
+        known = Knowledge(
+            self.boxes, self.engines, self.health, self.loads, self.holders, self.limits
+        )
+        self.counts = known.counts
+        self.events = known.events
+        self.beliefs = known.beliefs
+        self.exchange = PeerExchange(box, incarnation, known)
         self._services: dict[str, ServiceRouter] = {}
         self._active: dict[str, _Active] = {}
-        self._sender = DigestSender()
-        self._receiver = DigestReceiver()
 
     # What the box is told.
 
@@ -119,48 +107,15 @@
 
     def hear(self, digest: Digest, now: float) -> list[Decision]:
         """A peer told its state; calls that waited may now have a place."""
-        if self.boxes.heard(digest.box, digest.incarnation, now, digest.store_lost):
-            self._sender.forget(digest.box)
-            self.limits.peer_forgot(digest.box)
-            self.holders.forget_peer(digest.box)
-        self._sender.heard(digest.box, digest.ack)
-        whole = self._receiver.hear(digest)
-        if whole is not None:
-            self.loads.set_peer(digest.box, whole.loads)
-            self.limits.set_peer(digest.box, whole.usage, whole.ack)
-        self.holders.heard(digest.held, now)
-        self._hear_of_failures(digest, now)
-        if digest.leaving:
-            event = Event(EventKind.BOX_LEAVING, digest.box, digest.incarnation, digest.box)
-            self._take_event(event, now)
-        for event in digest.events:
-            self._take_event(event, now)
+        self.exchange.hear(digest, now)
         return self._drain_queues(now)
 
-    def _hear_of_failures(self, digest: Digest, now: float) -> None:
-        self.health.failures.told(digest.box, digest.failures, now)
-        for suspect in digest.suspects:
-            if self.engines.reported_failing(suspect, digest.box, now):
-                self.beliefs.append(Belief(suspect.engine, Phase.SUSPECT, digest.box))
-
-    def _take_event(self, event: Event, now: float) -> None:
-        if not self.events.add(event, len(self.boxes.peers()) + 1):
-            return
-        self.counts[f'event.{event.kind.name.lower()}'] += 1
-        self.beliefs.append(belief_from(event))
-        if event.kind is EventKind.ENGINE_LEAVING:
-            self.engines.leaving(event.subject, event.incarnation)
-        elif event.kind is EventKind.BOX_LEAVING:
-            self.boxes.leaving(event.subject, event.incarnation)
-        elif event.kind is EventKind.BOX_GONE:
-            self.boxes.reported_gone(event.subject, event.origin, now)
-
     def engine_leaving(self, name: str, now: float) -> None:
         """An engine told this box that it takes no new work."""
         engine = self.engines.get(name)
         if engine is not None:
             event = Event(EventKind.ENGINE_LEAVING, name, engine.incarnation, self.box)
-            self._take_event(event, now)
+            self.exchange.note(event, now)
 
     # What the box is asked.
 
@@ -290,12 +245,7 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Expire what waited too long and forget boxes that went silent."""
-        for name in self.boxes.silent(now):
-            self._tell_gone(name, now)
-            self.loads.drop_peer(name)
-            self._receiver.forget(name)
-            self._sender.forget(name)
-            self.holders.forget_peer(name)
+        self.exchange.forget_silent(now)
         self._share_between_live(now)
         self._note_outage(now)
         for name in self.health.eject_outliers(self._services, now):
@@ -311,14 +261,6 @@
         for name in self.engines.drop_unlisted(now):
             self.beliefs.append(Belief(name, Phase.GONE, LIST_SOURCE))
 
-    def _tell_gone(self, name: str, now: float) -> None:
-        """Tell boxes that do not hear a neighbour themselves that it fell silent."""
-        if self.boxes.all_are_neighbours:
-            return
-        box = self.boxes.get(name)
-        if box is not None and box.incarnation:
-            self._take_event(Event(EventKind.BOX_GONE, name, box.incarnation, self.box), now)
-
     def _share_between_live(self, now: float) -> None:
         self.limits.set_boxes(self.boxes.live(now))
 
@@ -374,29 +316,17 @@
 
     def digest_for(self, peer: str, settings_total: int, settings_print: int, now: float) -> Digest:
         """The next message to `peer`."""
-        digest = Digest(
-            self.box,
-            self.incarnation,
-            leaving=self.leaving,
-            loads=self.loads.own(),
-            usage=self.limits.usage(now),
-            settings_total=settings_total,
-            settings_print=settings_print,
-            events=self.events.pending(EVENTS_PER_DIGEST),
-            held=self.holders.news_for(peer),
-            failures=self.health.failures.own(now),
-            suspects=self.engines.new_suspects(now),
-        )
-        ack = self._receiver.last(peer)
-        message = self._sender.next_for(peer, digest, ack)
-        # Counted as told even if it is not sent: that only delays a share.
-        self.limits.digest_sent(peer, message.seq, digest.usage)
-        return message
+        return self.exchange.digest_for(peer, settings_total, settings_print, now)
 
     def digest_sent(self, digest: Digest) -> None:
         """A message went out."""
-        self.loads.digest_sent()
-        self.events.relayed(digest.events)
+        self.exchange.digest_sent(digest)
+
+    def take_beliefs(self) -> list[Belief]:
+        """Changes of belief since they were last taken, for the logs."""
+        taken = self.beliefs.copy()
+        self.beliefs.clear()
+        return taken
 
     @property
     def in_flight(self) -> int:
