Of the engines that hold a chat the near one goes first, and so do those that may fetch it

An engine that holds a chat beyond its first 16 ranks was not tried at all where more than 48 serve. Changed: holders before all others, near ones first among them; once somebody holds the chat, near ones first among the rest; a call at any holder is no spill and waits for none.

--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -1,6 +1,6 @@
 """Where the calls of one service go."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from seamhold_limits import WaitQueue
@@ -57,7 +57,12 @@
 
 
 class RankedEngines(Sequence[Candidate]):
-    """The engines for one chat, best first, worked out as they are read."""
+    """The engines for one chat, best first, worked out as they are read.
+
+    Those that hold the chat come before the rank order.  Among these, and among
+    the others once somebody holds it, those that are `near` come first.  A chat
+    that nobody holds goes by rank alone, so that all boxes read it at one engine.
+    """
 
     def __init__(
         self,
@@ -66,14 +71,18 @@
         ranking: Ranking,
         serving: Serving,
         loads: LoadTable,
-        holders: list[str] | None = None,
+        holders: Sequence[str] = (),
+        near: Collection[str] = (),
     ):
         self._chat = chat
         self._excluded = excluded
         self._ranking = ranking
         self._serving = serving
         self._loads = loads
-        self._holders = holders or []
+        self._holders = [
+            name for name in holders if name in serving.engines and name not in excluded
+        ]
+        self._near = near
         self._names = self._in_order(ranking.first(chat))
         self._length = len(serving.engines) - sum(name in serving.engines for name in excluded)
 
@@ -84,7 +93,12 @@
         if not self._holders:
             return names
         holders = [name for name in names if name in self._holders]
-        return holders + [name for name in names if name not in self._holders]
+        holders += [name for name in self._holders if name not in names]
+        others = [name for name in names if name not in self._holders]
+        return self._near_first(holders) + self._near_first(others)
+
+    def _near_first(self, names: list[str]) -> list[str]:
+        return sorted(names, key=lambda name: name not in self._near)
 
     def place_of(self, hint: str) -> int | None:
         """The rank of the engine that a hint tells, if it is an early one.
@@ -143,6 +157,8 @@
         self._ranking = Ranking()
         self._serving: Serving | None = None
         self._weight = 0.0
+        #: The serving engines in this box's failure domain.
+        self._near: set[str] = set()
 
     def use_plan(self, plan: ServicePlan) -> None:
         """Take over changed settings."""
@@ -162,6 +178,11 @@
             self._ranking.set_weights(serving.weights)
             self._loads.set_group(self.name, serving.engines)
             self._weight = sum(engine.weight for engine in serving.engines.values())
+            self._near = {
+                name
+                for name, engine in serving.engines.items()
+                if engine.failure_domain == self._failure_domain
+            }
         return serving
 
     def place(self, call: Call, now: float) -> Placed | None:
@@ -172,18 +193,18 @@
         serving = self._look(now)
         holders = self._holders.of(call.chat, now) if call.sticky else []
         candidates = RankedEngines(
-            call.chat, call.excluded, self._ranking, serving, self._loads, holders
+            call.chat, call.excluded, self._ranking, serving, self._loads, holders, self._near
         )
         totals = Totals(self._weight, self._loads.total(self.name))
         hint = candidates.place_of(call.hint)
         if call.sticky:
             choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
         else:
-            choice = choose_least_loaded(candidates, call.work, self._near(serving))
+            choice = choose_least_loaded(candidates, call.work, self._near)
         if choice is None:
             return None
         engine = serving.engines[choice.name]
-        spilled = call.sticky and choice.rank != (hint or 0)
+        spilled = call.sticky and choice.rank != (hint or 0) and choice.name not in holders
         fetch_from = ''
         if call.sticky:
             first = self._ranking.first(call.chat)[0]
@@ -202,14 +223,6 @@
             round(mean, 2),
         )
 
-    def _near(self, serving: Serving) -> set[str]:
-        """The engines in this box's failure domain."""
-        return {
-            name
-            for name, engine in serving.engines.items()
-            if engine.failure_domain == self._failure_domain
-        }
-
     @staticmethod
     def _other_holder(holders: list[str], first: str, chosen: str, serving: Serving) -> str:
         """The address of an engine that `chosen` may fetch from, '' if it holds all.
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -157,6 +157,54 @@
         self.assertEqual('near', went[0])
         self.assertIn(went.count('near'), (5, 6))
 
+    def domains(self, router: Router) -> None:
+        """Engines in two failure domains, with room for two calls each."""
+        router.set_engines(
+            [
+                Engine(f'{domain}-{number}', 'llm', f'{domain}-{number}:80', domain, 'x', slots=2)
+                for domain in ('here', 'there')
+                for number in range(8)
+            ],
+            0.0,
+        )
+
+    def admit(self, router: Router, number: int, chat: str = 'chat') -> Placed:
+        call = Call(f'c{number}', 'w', 'llm', chat, Work(1, 1), 10.0)
+        decisions = [*router.admit(call, 0.0), *router.tick(1.0)]
+        return next(decision for decision in decisions if isinstance(decision, Placed))
+
+    def test_of_engines_that_hold_a_chat_the_near_one_goes_first(self):
+        router = Router('box', 'x', failure_domain='here')
+        self.domains(router)
+        for engine in ('there-1', 'here-5', 'there-6'):
+            router.holders.placed('chat', engine, 0.0)
+        self.assertEqual('here-5', self.admit(router, 1).engine)
+
+    def test_a_call_that_its_holders_cannot_take_goes_near_and_fetches(self):
+        router = Router('box', 'x', failure_domain='here')
+        self.domains(router)
+        router.holders.placed('chat', 'there-1', 0.0)
+        router.loads.set_peer('busy', {'there-1': Work(2, 2)})
+        placed = self.admit(router, 1)
+        self.assertEqual(('here', 'there-1:80'), (placed.engine[:4], placed.fetch_from))
+
+    def test_a_chat_that_nobody_holds_goes_by_rank_from_every_domain(self):
+        went = set()
+        for domain in ('here', 'there'):
+            router = Router('box', 'x', failure_domain=domain)
+            self.domains(router)
+            went.add(self.admit(router, 1).engine)
+        self.assertEqual(1, len(went))
+
+    def test_another_holder_is_no_spill_to_wait_for(self):
+        router = Router('box', 'x', failure_domain='here')
+        self.domains(router)
+        for engine in ('here-1', 'there-1'):
+            router.holders.placed('chat', engine, 0.0)
+        router.loads.set_peer('busy', {'here-1': Work(2, 2)})
+        (placed,) = router.admit(Call('c1', 'w', 'llm', 'chat', Work(1, 1), 10.0), 0.0)
+        self.assertEqual(('there-1', False), (placed.engine, placed.spilled))
+
     def test_placement_goes_by_the_last_shared_part(self):
         parts = (PromptPart('a', 500), PromptPart('b', 9000), PromptPart('own', 100))
         self.assertEqual('b', shared_part(parts).id)
