The soak's store fails for all boxes at once: down, slow, answers lost, lists late, watches silent, few writes

Cause: storage faults came only through each box's own proxy; the users ask for storage that misbehaves. The run's own writes are tried again for ten seconds. Clocks: nothing in the packages reads the time of day but the log reader, so there is no clock to be set wrong.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,11 +3,13 @@
 import json
 import random
 import time
+from collections.abc import Callable
 from pathlib import Path
 
+import urllib3
 import yaml
 
-from standins.fleet import HOST, LocalFleet, Process, wait_until
+from standins.fleet import HOST, FleetError, LocalFleet, Process, wait_until
 
 from .proxy import FaultProxy, ProxyLoop
 
@@ -16,6 +18,9 @@
 TOKEN_SECONDS = 0.01
 SLOTS = 16
 READY_SECONDS = 40.0
+#: How long the run's own writes are tried again while the platform fails.
+WRITE_SECONDS = 10.0
+WRITE_PAUSE_SECONDS = 0.2
 #: The setting that a change of the tree counts up; it binds nobody here.
 COUNTED_WORKSPACE = 'port-louis'
 
@@ -61,6 +66,16 @@
         self.list_engine(process, SERVICE, SLOTS, address=address)
         return process
 
+    def write(self, kind: str, name: str, spec: dict, tolerant: bool = False) -> None:
+        """Create or replace an object, also while the platform fails for a while."""
+        write = super().write
+        _until_taken(lambda: write(kind, name, spec, tolerant))
+
+    def update_engine(self, name: str, **changes) -> None:
+        """Change an engine's listing, also while the platform fails for a while."""
+        update = super().update_engine
+        _until_taken(lambda: update(name, **changes))
+
     def ledger_file(self, name: str) -> Path:
         """Where an engine notes what it begins to run; it outlives the process."""
         return self.folder / f'{name}.ledger'
@@ -94,3 +109,16 @@
         """End all processes and the proxies."""
         super().stop_all()
         self._proxies.stop()
+
+
+def _until_taken(write: Callable[[], None]) -> None:
+    """Try a write again until the platform takes it."""
+    ends = time.monotonic() + WRITE_SECONDS
+    while True:
+        try:
+            write()
+            return
+        except (FleetError, urllib3.exceptions.HTTPError) as error:
+            if time.monotonic() > ends:
+                raise FleetError(f'the platform does not take a write: {error}') from error
+            time.sleep(WRITE_PAUSE_SECONDS)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -105,7 +105,7 @@
 
 
 def _platform_troubled(troubles: list[Trouble], listed: float) -> bool:
-    kinds = {'platform_link', 'freeze', 'kill_box', 'stop_box'}
+    kinds = {'platform_link', 'platform_fails', 'freeze', 'kill_box', 'stop_box'}
     return any(
         trouble.kind in kinds and trouble.touches(listed - 2.0, listed + LEAVING_SECONDS + 1.0)
         for trouble in troubles
--- a/soak/trouble.py
+++ b/soak/trouble.py
@@ -32,6 +32,22 @@
     'refuse': False,
     'first_token_seconds': 0.0,
 }
+PLATFORM_FAULTS = (
+    {'down': True},
+    {'slow': 0.3},
+    {'lose_answers': 3},
+    {'list_lag': 1.0},
+    {'frozen_watch': True},
+    {'writes_per_second': 1},
+)
+GOOD_PLATFORM = {
+    'down': False,
+    'slow': 0.0,
+    'lose_answers': 0,
+    'list_lag': 0.0,
+    'frozen_watch': False,
+    'writes_per_second': 100,
+}
 BROKEN_MODES = tuple(mode for mode in Mode if mode is not Mode.PASS)
 
 
@@ -76,6 +92,7 @@
             self._engine_fails,
             self._engine_link,
             self._platform_link,
+            self._platform_fails,
             self._change_settings,
         ]
 
@@ -167,6 +184,16 @@
         time.sleep(lasts)
         self.fleet.faults(trouble.subject, **GOOD_ENGINE)
 
+    def _platform_fails(self, trouble: Trouble, lasts: float) -> None:
+        """The store itself misbehaves, for all boxes at once."""
+        if not self._take(trouble, ['platform']):
+            return
+        faults = self._chance.choice(PLATFORM_FAULTS)
+        trouble.detail = str(faults)
+        self.fleet.faults('platform', **faults)
+        time.sleep(lasts)
+        self.fleet.faults('platform', **GOOD_PLATFORM)
+
     def _engine_link(self, trouble: Trouble, lasts: float) -> None:
         if self._take(trouble, self.fleet.engines):
             self._break_link(trouble, self.fleet.engine_links, lasts)
