--- a/packages/routing/seamhold_routing/beliefs.py
+++ b/packages/routing/seamhold_routing/beliefs.py
@@ -9,6 +9,9 @@
 LIST_SOURCE = 'list'
 #: Who told that an engine fails more than its siblings: all boxes together.
 OUTLIER_SOURCE = 'compared'
+#: Who told that a box is gone or back: this box hears it, or does not.
+SILENCE_SOURCE = 'silence'
+HEARD_SOURCE = 'heard'
 #: What an event makes of its subject.
 EVENT_PHASES = {
     EventKind.ENGINE_LEAVING: Phase.LEAVING,
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -17,7 +17,7 @@
 from seamhold_messages.fleet import Phase
 from seamhold_placement import HolderTable, LoadTable
 
-from .beliefs import Belief, belief_from
+from .beliefs import HEARD_SOURCE, SILENCE_SOURCE, Belief, belief_from
 from .health import EngineHealth
 
 #: Events that one digest carries at most.
@@ -50,6 +50,8 @@
         self._known = known
         self._sender = DigestSender()
         self._receiver = DigestReceiver()
+        #: Neighbours that were silent at the last look.
+        self._silent: set[str] = set()
 
     # What peers tell.
 
@@ -95,13 +97,24 @@
 
     def forget_silent(self, now: float) -> None:
         """What silent neighbours told is void; the others may have to hear of it."""
-        for name in self._known.boxes.silent(now):
+        silent = self._known.boxes.silent(now)
+        self._note_silence(set(silent))
+        for name in silent:
             self._tell_gone(name, now)
             self._known.loads.drop_peer(name)
             self._known.holders.forget_peer(name)
             self._receiver.forget(name)
             self._sender.forget(name)
 
+    def _note_silence(self, silent: set[str]) -> None:
+        beliefs = self._known.beliefs
+        for name in sorted(silent - self._silent):
+            beliefs.append(Belief(name, Phase.GONE, SILENCE_SOURCE))
+        for name in sorted(self._silent - silent):
+            if self._known.boxes.get(name) is not None:
+                beliefs.append(Belief(name, Phase.LIVE, HEARD_SOURCE))
+        self._silent = silent
+
     def _tell_gone(self, name: str, now: float) -> None:
         """Tell boxes that do not hear a neighbour themselves that it fell silent."""
         if self._known.boxes.all_are_neighbours:
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -211,6 +211,18 @@
         self.assertIsNone(shared_part(()))
 
 
+class TestSilence(testtools.TestCase):
+    def test_a_neighbour_that_falls_silent_and_comes_back_is_told_once_each(self):
+        router, other = Router('one', 'x'), Router('other', 'y')
+        router.set_boxes([Box('one', 'a:1'), Box('other', 'b:1')], 0.0)
+        for second in range(3, 10):
+            router.tick(float(second))
+        router.hear(other.digest_for('one', 0, 0, 10.0), 10.0)
+        router.tick(10.1)
+        told = [(belief.phase, belief.source) for belief in router.take_beliefs()]
+        self.assertEqual([(Phase.GONE, 'silence'), (Phase.LIVE, 'heard')], told)
+
+
 class TestFailingEngines(testtools.TestCase):
     """A server that fails a part of its calls with good health, seen by all boxes."""
 
