Digests are made for many peers at once

Now one question brings as many as the budget is likely to allow, made from one state that all peers' histories share.

--- a/measure/drive.py
+++ b/measure/drive.py
@@ -13,7 +13,7 @@
 from seamhold_messages.work import Call, Placed, Refused, Work
 from seamhold_peers import EncodedDigest
 from seamhold_placement import LoadTable
-from seamhold_routing import Router, hint_for
+from seamhold_routing import Router, Versions, hint_for
 from seamhold_settings import FleetSpec, Tree
 from seamhold_settings.schema import Control, Placement, WorkspaceSpec
 
@@ -334,14 +334,14 @@
 
     def _tell_peer(self, name: str, peer: str) -> bool:
         router = self.routers[name]
-        digest = router.digest_for(peer, 1, 1, self.now)
+        (digest,) = router.digests_for([peer], Versions(1, 1), self.now)
         size = EncodedDigest(digest).size
         if not self.budgets[name].take(size, self.now):
             self.tally.denied += 1
             return False
         self.tally.bytes += size
         self.tally.messages += 1
-        router.digest_sent(digest)
+        router.digests_sent([digest])
         self.at(self.now + self.deployment.latency, self._hear, peer, digest)
         return True
 
--- a/packages/membership/seamhold_membership/budget.py
+++ b/packages/membership/seamhold_membership/budget.py
@@ -25,6 +25,11 @@
         self._refill(now)
         return size <= self._left
 
+    def left(self, now: float) -> int:
+        """How many bytes might be sent now."""
+        self._refill(now)
+        return int(self._left)
+
     def take(self, size: int, now: float) -> bool:
         """Whether `size` bytes may be sent now; if so they are spent."""
         self._refill(now)
--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -84,18 +84,22 @@
     def __init__(self):
         self._peers: dict[str, _Told] = {}
 
-    def next_for(self, peer: str, truth: Digest, ack: int) -> Digest:
-        """The message that brings `peer` to `truth`; `ack` goes along."""
+    def next_for(
+        self, peer: str, truth: Digest, ack: int, held: tuple[Holding, ...] = ()
+    ) -> Digest:
+        """The message that brings `peer` to `truth`; `ack` and `held` go along."""
         told = self._peers.setdefault(peer, _Told())
         told.seq += 1
         base = told.states.get(told.heard)
-        message = replace(truth, seq=told.seq, base=0, ack=ack)
-        told.states[told.seq] = message
+        told.states[told.seq] = truth
         _trim(told.states)
         if base is None:
-            return message
+            return replace(truth, seq=told.seq, base=0, ack=ack, held=held)
         return replace(
-            message,
+            truth,
+            seq=told.seq,
+            ack=ack,
+            held=held,
             base=told.heard,
             loads=_changed(truth.loads, base.loads, NO_WORK),
             usage=_changed(truth.usage, base.usage, Usage()),
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -7,14 +7,13 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future
-from dataclasses import replace
 
 from seamhold_membership import Digest
 from seamhold_messages.errors import CallerLeft
 from seamhold_messages.fleet import Box, Engine
 from seamhold_messages.work import Decision, Queued, Refused
 from seamhold_peers import FleetLists
-from seamhold_routing import Router
+from seamhold_routing import Router, Versions
 
 from .decisions import (
     Abandon,
@@ -25,7 +24,7 @@
     BoxReport,
     Closed,
     DeciderReport,
-    DigestSent,
+    DigestsSent,
     EngineLeaving,
     EngineReport,
     Hear,
@@ -35,7 +34,7 @@
     SetBoxes,
     SetEngines,
     UseSettings,
-    WantDigest,
+    WantDigests,
     WantLists,
     WantReport,
 )
@@ -86,8 +85,8 @@
             HearHoldings: self._hear_holdings,
             LearnHoldings: self._learn_holdings,
             Hear: self._hear,
-            WantDigest: self._digest,
-            DigestSent: self._digest_sent,
+            WantDigests: self._digests,
+            DigestsSent: self._digests_sent,
             Leaving: self._leaving,
             WantReport: self._report,
         }
@@ -206,19 +205,18 @@
     def _hear(self, message: Hear) -> None:
         self._deliver(self._router.hear(message.digest, self._clock()))
 
-    def _digest(self, message: WantDigest) -> Digest:
-        digest = self._router.digest_for(
-            message.peer, message.settings_total, message.settings_print, self._clock()
-        )
-        return replace(
-            digest,
-            engines_version=self._engines_version,
-            boxes_version=self._boxes_version,
-            store_lost=self.store_lost,
+    def _digests(self, message: WantDigests) -> list[Digest]:
+        versions = Versions(
+            message.settings_total,
+            message.settings_print,
+            self._engines_version,
+            self._boxes_version,
+            self.store_lost,
         )
+        return self._router.digests_for(message.peers, versions, self._clock())
 
-    def _digest_sent(self, message: DigestSent) -> None:
-        self._router.digest_sent(message.digest)
+    def _digests_sent(self, message: DigestsSent) -> None:
+        self._router.digests_sent(message.digests)
 
     def _leaving(self, message: Leaving) -> None:
         self._router.exchange.leaving = True
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -122,19 +122,19 @@
 
 
 @dataclass(slots=True)
-class WantDigest(Ask):
-    """The next digest for a peer, with the settings in force here."""
+class WantDigests(Ask):
+    """The next digest for each of some peers, with the settings in force here."""
 
-    peer: str
+    peers: tuple[str, ...]
     settings_total: int
     settings_print: int
 
 
 @dataclass(slots=True)
-class DigestSent:
-    """A digest went out."""
+class DigestsSent:
+    """Digests went out."""
 
-    digest: Digest
+    digests: tuple[Digest, ...]
 
 
 @dataclass(slots=True)
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -26,13 +26,13 @@
 from .decider import Decider
 from .decisions import (
     DeciderReport,
-    DigestSent,
+    DigestsSent,
     Hear,
     HearHoldings,
     Leaving,
     SetBoxes,
     SetEngines,
-    WantDigest,
+    WantDigests,
     WantReport,
 )
 from .keeper import Offer, SettingsKeeper, WantKnown
@@ -48,6 +48,9 @@
 PULLS_MAX = 2
 #: No digest is smaller: with less left in the budget none is made.
 DIGEST_MIN_BYTES = 60
+#: What a digest is taken to need at first, and over how many that is averaged.
+USUAL_BYTES = 110
+USUAL_OF = 8
 
 
 class Peering:
@@ -84,6 +87,7 @@
         self._holdings_asked = False
         self._told_versions = (0, 0, 0)
         self._order = TellingOrder(chance)
+        self._usual_bytes = USUAL_BYTES
         self._pulls: set[asyncio.Task] = set()
         self.loop = asyncio.new_event_loop()
         self._handler: PeerHandler | None = None
@@ -285,30 +289,47 @@
 
     async def _tell_all(self) -> None:
         """Tell each peer once, those first that a short budget left out."""
-        for name in self._order.of(self._clients):
-            if not await self._tell(name):
+        names = self._order.of(self._clients)
+        while names:
+            some = self._within_budget(len(names))
+            if not await self._tell(names[:some]):
                 # The budget is spent: making more digests would be in vain.
                 return
-            self._order.told(name)
+            names = names[some:]
 
-    async def _tell(self, name: str) -> bool:
-        """Tell one peer; False if the budget does not allow it."""
-        client = self._clients.get(name)
-        if client is None:
-            return True
+    def _within_budget(self, peers: int) -> int:
+        """How many digests the budget is likely to allow now, one at least."""
+        now = self._environment.monotonic()
+        return max(1, min(peers, self.budget.left(now) // self._usual_bytes))
+
+    async def _tell(self, names: list[str]) -> bool:
+        """Tell some peers; False if the budget does not allow it."""
         if not self.budget.allows(DIGEST_MIN_BYTES, self._environment.monotonic()):
             return False
         snapshot = self._keeper.snapshot
-        want = WantDigest(name, snapshot.total, snapshot.fingerprint)
-        digest = await asyncio.wrap_future(self._decider.ask(want))
+        want = WantDigests(tuple(names), snapshot.total, snapshot.fingerprint)
+        digests = await asyncio.wrap_future(self._decider.ask(want))
+        sent = []
+        for name, digest in zip(names, digests, strict=True):
+            if not self._send(name, digest, sent):
+                break
+        self._decider.send(DigestsSent(tuple(sent)))
+        return len(sent) == len(names)
+
+    def _send(self, name: str, digest: Digest, sent: list[Digest]) -> bool:
+        """Send one digest, if the budget allows it and the peer is still there."""
         encoded = EncodedDigest(digest)
         if not self.budget.take(encoded.size, self._environment.monotonic()):
             self._metrics.count('control.denied')
             return False
-        self._port.send(encoded, client.address)
+        client = self._clients.get(name)
+        if client is not None:
+            self._port.send(encoded, client.address)
+        self._usual_bytes += (encoded.size - self._usual_bytes) // USUAL_OF
         self._metrics.count('control.bytes', encoded.size)
         self._metrics.count('control.messages')
-        self._decider.send(DigestSent(encoded.digest))
+        self._order.told(name)
+        sent.append(encoded.digest)
         return True
 
     def _heard(self, digest: Digest) -> None:
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -1,6 +1,7 @@
 """What one box tells its peers, and what it takes from what they tell."""
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from seamhold_limits import WorkspaceLimits
@@ -24,6 +25,17 @@
 EVENTS_PER_DIGEST = 4
 
 
+@dataclass(frozen=True, slots=True)
+class Versions:
+    """Which settings and lists a box has, and whether the platform serves it."""
+
+    settings_total: int = 0
+    settings_print: int = 0
+    engines: int = 0
+    boxes: int = 0
+    store_lost: bool = False
+
+
 @dataclass(slots=True)
 class Knowledge:
     """What one box knows of the fleet, by itself and from its peers."""
@@ -125,28 +137,36 @@
 
     # What this box tells.
 
-    def digest_for(self, peer: str, settings_total: int, settings_print: int, now: float) -> Digest:
-        """The next message to `peer`."""
+    def digests_for(self, peers: Iterable[str], versions: Versions, now: float) -> list[Digest]:
+        """The next message to each of `peers`."""
         known = self._known
-        digest = Digest(
+        truth = Digest(
             self._box,
             self._incarnation,
             leaving=self.leaving,
             loads=known.loads.own(),
             usage=known.limits.usage(now),
-            settings_total=settings_total,
-            settings_print=settings_print,
+            settings_total=versions.settings_total,
+            settings_print=versions.settings_print,
             events=known.events.pending(EVENTS_PER_DIGEST),
-            held=known.holders.news_for(peer),
+            engines_version=versions.engines,
+            boxes_version=versions.boxes,
+            store_lost=versions.store_lost,
             failures=known.health.failures.own(now),
             suspects=known.engines.new_suspects(now),
         )
-        message = self._sender.next_for(peer, digest, self._receiver.last(peer))
+        return [self._digest_for(peer, truth) for peer in peers]
+
+    def _digest_for(self, peer: str, truth: Digest) -> Digest:
+        held = self._known.holders.news_for(peer)
+        ack = self._receiver.last(peer)
+        message = self._sender.next_for(peer, truth, ack, held)
         # Counted as told even if it is not sent: that only delays a share.
-        known.limits.digest_sent(peer, message.seq, digest.usage)
+        self._known.limits.digest_sent(peer, message.seq, truth.usage)
         return message
 
-    def digest_sent(self, digest: Digest) -> None:
-        """A message went out."""
+    def digests_sent(self, digests: Iterable[Digest]) -> None:
+        """Messages went out."""
         self._known.loads.digest_sent()
-        self._known.events.relayed(digest.events)
+        for digest in digests:
+            self._known.events.relayed(digest.events)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -4,6 +4,7 @@
 owns one of these; a test or a measurement drives it with a hand-set clock.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from seamhold_attempts.retry import Outcome
@@ -16,7 +17,7 @@
 from seamhold_settings import Tree
 
 from .beliefs import LIST_SOURCE, OUTLIER_SOURCE, Belief, changes
-from .exchange import Knowledge, PeerExchange
+from .exchange import Knowledge, PeerExchange, Versions
 from .health import EngineHealth
 from .service import ServiceRouter, plan_for
 from .watchers import store_away, watches
@@ -314,13 +315,13 @@
 
     # What the box tells.
 
-    def digest_for(self, peer: str, settings_total: int, settings_print: int, now: float) -> Digest:
-        """The next message to `peer`."""
-        return self.exchange.digest_for(peer, settings_total, settings_print, now)
+    def digests_for(self, peers: Iterable[str], versions: Versions, now: float) -> list[Digest]:
+        """The next message to each of `peers`."""
+        return self.exchange.digests_for(peers, versions, now)
 
-    def digest_sent(self, digest: Digest) -> None:
-        """A message went out."""
-        self.exchange.digest_sent(digest)
+    def digests_sent(self, digests: Iterable[Digest]) -> None:
+        """Messages went out."""
+        self.exchange.digests_sent(digests)
 
     def take_beliefs(self) -> list[Belief]:
         """Changes of belief since they were last taken, for the logs."""
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -23,7 +23,7 @@
     encode_lists,
 )
 from seamhold_placement import HolderTable
-from seamhold_routing import Router
+from seamhold_routing import Router, Versions
 from seamhold_settings import Candidate
 from seamhold_settings.tree import TREE_OBJECT
 
@@ -217,7 +217,7 @@
         router.set_boxes([Box('one', 'a:1'), Box('other', 'b:1')], 0.0)
         for second in range(3, 10):
             router.tick(float(second))
-        router.hear(other.digest_for('one', 0, 0, 10.0), 10.0)
+        router.hear(*other.digests_for(['one'], Versions(), 10.0), 10.0)
         router.tick(10.1)
         told = [(belief.phase, belief.source) for belief in router.take_beliefs()]
         self.assertEqual([(Phase.GONE, 'silence'), (Phase.LIVE, 'heard')], told)
@@ -245,8 +245,8 @@
 
     def talk(self, now: float) -> None:
         one, other = self.boxes
-        other.hear(one.digest_for('other', 0, 0, now), now)
-        one.hear(other.digest_for('one', 0, 0, now), now)
+        other.hear(*one.digests_for(['other'], Versions(), now), now)
+        one.hear(*other.digests_for(['one'], Versions(), now), now)
 
     def test_boxes_that_see_little_each_avoid_it_together(self):
         for number in range(16):
@@ -290,7 +290,7 @@
         for speaker in self.NAMES:
             for hearer in self.NAMES:
                 if speaker != hearer and speaker not in silent:
-                    digest = self.routers[speaker].digest_for(hearer, 0, 0, now)
+                    (digest,) = self.routers[speaker].digests_for([hearer], Versions(), now)
                     digest = replace(digest, store_lost=speaker in lost)
                     self.routers[hearer].hear(digest, now)
 
--- a/tests/utils/telling_fleet.py
+++ b/tests/utils/telling_fleet.py
@@ -9,7 +9,7 @@
 from seamhold_messages.fleet import Box, Engine
 from seamhold_messages.work import Call, Placed, Work
 from seamhold_peers import DigestReader, EncodedDigest, NameTable
-from seamhold_routing import Router
+from seamhold_routing import Router, Versions
 from seamhold_settings import FleetSpec, Tree
 from seamhold_settings.schema import Control, Placement
 
@@ -17,6 +17,7 @@
 STEP_SECONDS = 0.05
 CALL_SECONDS = 0.5
 DEADLINE_SECONDS = 10.0
+USUAL_BYTES = 110
 
 
 class TellingBox:
@@ -95,14 +96,21 @@
         self._running = left
 
     def _tell(self, box: TellingBox) -> None:
-        for name in box.order.of(other for other in self.boxes if other != box.router.box):
-            encoded = EncodedDigest(box.router.digest_for(name, 0, 0, self.now))
+        names = box.order.of(other for other in self.boxes if other != box.router.box)
+        likely = 1 + box.budget.left(self.now) // USUAL_BYTES
+        names = names[:likely]
+        sent = []
+        for name, digest in zip(
+            names, box.router.digests_for(names, Versions(), self.now), strict=True
+        ):
+            encoded = EncodedDigest(digest)
             if not box.budget.take(encoded.size, self.now):
-                return
+                break
             box.order.told(name)
-            box.router.digest_sent(encoded.digest)
+            sent.append(encoded.digest)
             if not self.cut & {name, box.router.box}:
                 self._deliver(self.boxes[name], encoded)
+        box.router.digests_sent(sent)
 
     def _deliver(self, box: TellingBox, encoded: EncodedDigest) -> None:
         digest = box.reader.read(encoded.data)
