A call that the last engine left refuses as full waits for it

The box had not heard yet that another box had filled the only engine, the engine refused, the retry excluded it, and the call was refused at once with "no live engine", which was not true. Changed: where no other engine is left and the last one refused as full (and does not leave), the call waits, and the engine is taken to be full for 0.3 s, until peers' digests tell. Routes that allow one attempt are as before.

--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
+from seamhold_attempts.retry import Outcome
 from seamhold_membership import Digest
 from seamhold_messages.errors import CallerLeft
 from seamhold_messages.fleet import Box, Engine
@@ -146,7 +147,9 @@
         decisions = self._router.attempted(message.call_id, message.outcome, now)
         self._router.exclude(message.call_id, message.failed_engine)
         self._replies[message.call_id] = message.reply
-        self._deliver(decisions + self._router.again(message.call_id, now))
+        refused = message.outcome is Outcome.ENGINE_REFUSED
+        full_engine = message.failed_engine if refused else ''
+        self._deliver(decisions + self._router.again(message.call_id, now, full_engine))
         return message
 
     def _attempted(self, message: Attempted) -> None:
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -203,8 +203,12 @@
         if self.health.ended(engine, outcome, now):
             self.beliefs.append(Belief(engine, Phase.SUSPECT, self.box))
 
-    def again(self, call_id: str, now: float) -> list[Decision]:
-        """Place a call anew, away from the engine of its last attempt."""
+    def again(self, call_id: str, now: float, full_engine: str = '') -> list[Decision]:
+        """Place a call anew, away from the engine of its last attempt.
+
+        If that is the last one left and refused the call as full, which
+        `full_engine` tells, the call waits for it.
+        """
         active = self._active.get(call_id)
         if active is None:
             return []
@@ -212,11 +216,23 @@
         placed = service.place(active.call, now)
         if placed:
             return self._count([self._start(placed, active.call, now)])
-        if not service.any_engine(now, active.call.excluded):
+        if not self._can_wait(service, active, now, full_engine):
             error = NoEngine('no other engine serves this', NO_ENGINE_RETRY_SECONDS)
             return self._count([Refused(call_id, error.code, error.detail, error.retry_after)])
         return self._count(self._enqueue(service, active.call, now))
 
+    @staticmethod
+    def _can_wait(service: ServiceRouter, active: _Active, now: float, full_engine: str) -> bool:
+        """Whether some engine may take the call later; a full one is one of these."""
+        excluded = active.call.excluded
+        if service.any_engine(now, excluded):
+            return True
+        if not full_engine or not service.any_engine(now, excluded - {full_engine}):
+            return False
+        active.call = replace(active.call, excluded=excluded - {full_engine})
+        service.note_full(full_engine, now)
+        return True
+
     def exclude(self, call_id: str, engine: str) -> None:
         """Keep the call away from `engine` from here on."""
         active = self._active.get(call_id)
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -6,7 +6,7 @@
 from seamhold_limits import WaitQueue
 from seamhold_membership import EngineView, Serving
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import Call, Placed
+from seamhold_messages.work import Call, Placed, Work
 from seamhold_placement import (
     BoundPolicy,
     Candidate,
@@ -21,6 +21,9 @@
 from seamhold_settings import Tree
 from seamhold_settings.resolve import DEFAULTS
 
+#: An engine that refused a call because it is full is taken to be full for so
+#: long: by then peers have told what they sent there.
+FULL_SECONDS = 0.3
 #: Ranks among which a caller's hint may find an engine.
 HINT_RANKS = 5
 
@@ -73,6 +76,7 @@
         loads: LoadTable,
         holders: Sequence[str] = (),
         near: Collection[str] = (),
+        full: Collection[str] = (),
     ):
         self._chat = chat
         self._excluded = excluded
@@ -83,6 +87,7 @@
             name for name in holders if name in serving.engines and name not in excluded
         ]
         self._near = near
+        self._full = full
         self._names = self._in_order(ranking.first(chat))
         self._length = len(serving.engines) - sum(name in serving.engines for name in excluded)
 
@@ -124,7 +129,10 @@
             self._names = self._in_order(self._ranking.order(self._chat))
         name = self._names[position]
         engine = self._serving.engines[name]
-        return Candidate(name, self._loads.estimate(name), engine.slots, engine.weight)
+        load = self._loads.estimate(name)
+        if name in self._full:
+            load = Work(max(load.requests, engine.slots), load.tokens)
+        return Candidate(name, load, engine.slots, engine.weight)
 
 
 def hint_for(engine: str) -> str:
@@ -159,6 +167,8 @@
         self._weight = 0.0
         #: The serving engines in this box's failure domain.
         self._near: set[str] = set()
+        #: Engines that refused a call as full, and until when that is believed.
+        self._full: dict[str, float] = {}
 
     def use_plan(self, plan: ServicePlan) -> None:
         """Take over changed settings."""
@@ -170,6 +180,15 @@
         serving = self._engines.serving(self.name, now)
         return any(name not in excluded for name in serving.engines)
 
+    def note_full(self, engine: str, now: float) -> None:
+        """An engine refused a call because all its slots are taken."""
+        self._full[engine] = now + FULL_SECONDS
+
+    def _full_engines(self, now: float) -> set[str]:
+        if self._full:
+            self._full = {name: until for name, until in self._full.items() if now < until}
+        return set(self._full)
+
     def _look(self, now: float) -> Serving:
         """The engines that serve now; what hangs on them is kept up."""
         serving = self._engines.serving(self.name, now)
@@ -193,7 +212,14 @@
         serving = self._look(now)
         holders = self._holders.of(call.chat, now) if call.sticky else []
         candidates = RankedEngines(
-            call.chat, call.excluded, self._ranking, serving, self._loads, holders, self._near
+            call.chat,
+            call.excluded,
+            self._ranking,
+            serving,
+            self._loads,
+            holders,
+            self._near,
+            self._full_engines(now),
         )
         totals = Totals(self._weight, self._loads.total(self.name))
         hint = candidates.place_of(call.hint)
