--- a/packages/membership/seamhold_membership/gossip.py
+++ b/packages/membership/seamhold_membership/gossip.py
@@ -45,8 +45,8 @@
     origin: str = ''
 
     @property
-    def what(self) -> tuple[EventKind, str, str]:
-        """What happened, whoever saw it."""
+    def occurrence(self) -> tuple[EventKind, str, str]:
+        """What happened to which start of whom, whoever saw it."""
         return (self.kind, self.subject, self.incarnation)
 
 
@@ -57,7 +57,7 @@
     RELAY_FACTOR = 2
 
     def __init__(self):
-        #: The origins of what happened.
+        #: The boxes that told of each occurrence.
         self._seen: OrderedDict[tuple[EventKind, str, str], set[str]] = OrderedDict()
         self._relays: dict[Event, int] = {}
         #: How many events were new here, for whoever wants to tell at once.
@@ -65,7 +65,7 @@
 
     def add(self, event: Event, boxes: int) -> bool:
         """Take note of `event`; False if it was known, or enough boxes told it."""
-        origins = self._seen.setdefault(event.what, set())
+        origins = self._seen.setdefault(event.occurrence, set())
         if event.origin in origins or len(origins) >= ORIGINS_MAX[event.kind]:
             return False
         origins.add(event.origin)
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -222,7 +222,7 @@
         self._router.digests_sent(message.digests)
 
     def _leaving(self, message: Leaving) -> None:
-        self._router.exchange.leaving = True
+        self._router.leave()
 
     def _report(self, message: WantReport) -> DeciderReport:
         now = self._clock()
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -48,9 +48,10 @@
 PULLS_MAX = 2
 #: No digest is smaller: with less left in the budget none is made.
 DIGEST_MIN_BYTES = 60
-#: What a digest is taken to need at first, and over how many that is averaged.
-USUAL_BYTES = 110
-USUAL_OF = 8
+#: The size that a digest is taken to have at first, and over how many digests
+#: that were sent the mean is taken later.
+FIRST_DIGEST_BYTES = 110
+AVERAGED_DIGESTS = 8
 
 
 class Peering:
@@ -87,7 +88,7 @@
         self._holdings_asked = False
         self._told_versions = (0, 0, 0)
         self._order = TellingOrder(chance)
-        self._usual_bytes = USUAL_BYTES
+        self._mean_digest_bytes = FIRST_DIGEST_BYTES
         self._pulls: set[asyncio.Task] = set()
         self.loop = asyncio.new_event_loop()
         self._handler: PeerHandler | None = None
@@ -300,7 +301,7 @@
     def _within_budget(self, peers: int) -> int:
         """How many digests the budget is likely to allow now, one at least."""
         now = self._environment.monotonic()
-        return max(1, min(peers, self.budget.left(now) // self._usual_bytes))
+        return max(1, min(peers, self.budget.left(now) // self._mean_digest_bytes))
 
     async def _tell(self, names: list[str]) -> bool:
         """Tell some peers; False if the budget does not allow it."""
@@ -325,7 +326,7 @@
         client = self._clients.get(name)
         if client is not None:
             self._port.send(encoded, client.address)
-        self._usual_bytes += (encoded.size - self._usual_bytes) // USUAL_OF
+        self._mean_digest_bytes += (encoded.size - self._mean_digest_bytes) // AVERAGED_DIGESTS
         self._metrics.count('control.bytes', encoded.size)
         self._metrics.count('control.messages')
         self._order.told(name)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -339,6 +339,10 @@
         """Messages went out."""
         self.exchange.digests_sent(digests)
 
+    def leave(self) -> None:
+        """This box is stopping: peers are told with the next messages."""
+        self.exchange.leaving = True
+
     def take_beliefs(self) -> list[Belief]:
         """Changes of belief since they were last taken, for the logs."""
         taken = self.beliefs.copy()
