Decisions run on the threads that bring them; a box at rest wakes seldom

Cause: a box woke some seventy times a second to find nothing new: the decider ticked every 0.05 s, the peers' loop looked for news every 0.05 s, three followers looked every 0.1 s whether to watch; each ask of the decider took two switches of threads. Change: SerialTask handles a message on the thread that brings it; the decider's own thread sleeps until a wait ends, an engine is late, or 0.5 s are over; news wakes the round of telling; a follower waits for its turn on an event.

--- a/packages/router/seamhold/background.py
+++ b/packages/router/seamhold/background.py
@@ -1,7 +1,8 @@
-"""Work that runs beside its caller on an event loop."""
+"""What an event loop and the tasks on other threads do for each other."""
 
 import asyncio
 from collections.abc import Coroutine
+from concurrent.futures import Future
 
 
 class BackgroundWork:
@@ -16,3 +17,10 @@
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+async def answer_of(future: Future) -> object:
+    """What a task answers; one that has answered already costs no turn of the loop."""
+    if future.done():
+        return future.result()
+    return await asyncio.wrap_future(future)
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -1,7 +1,7 @@
 """The task that owns the box's decisions.
 
-Request threads ask it for a place and wait for the answer; nothing else
-touches the routing state.
+Request threads ask it for a place and get the answer, at once unless the call
+has to wait; nothing else touches the routing state.
 """
 
 import threading
@@ -40,12 +40,16 @@
     WantLists,
     WantReport,
 )
-from .tasks import Task
+from .tasks import SerialTask
 
-TICK_SECONDS = 0.05
+#: How often what others say or do not say is looked at, in seconds: the shortest
+#: silence that counts is a second.
+LOOK_SECONDS = 0.5
+#: The least time between two looks, in seconds.
+LOOK_MIN_SECONDS = 0.005
 
 
-class Decider(Task):
+class Decider(SerialTask):
     """Owns the routing state of this box."""
 
     name = 'decider'
@@ -64,10 +68,12 @@
         self._events_taken = 0
         #: Whether this box is one that watches the platform's store.
         self.follows_store = True
-        #: Set by the task that watches: the platform does not serve this box.
-        self.store_lost = False
-        #: Set when there is an exception that peers should hear at once.
-        self.urgent = threading.Event()
+        self._store_lost = False
+        #: Set while this box follows the store or has to win it back.
+        self.store_wanted = threading.Event()
+        self.store_wanted.set()
+        #: Told when there is something that peers should hear at once.
+        self.on_news: Callable[[], None] | None = None
         #: Told of each new list of boxes, wherever it comes from.
         self.on_boxes: Callable[[list[Box]], None] | None = None
         self.engines_listed = threading.Event()
@@ -95,16 +101,40 @@
         }
 
     def patience(self) -> float:
-        """The routing state wants its tick even when nothing happens."""
-        return TICK_SECONDS
+        """Seconds until time alone may change something."""
+        now = self._clock()
+        return max(0.0, min(self._next_tick, self._router.next_due(now)) - now)
 
     def idle(self) -> None:
         """Let time pass in the routing state."""
         now = self._clock()
-        self._next_tick = now + TICK_SECONDS
+        self._next_tick = now + LOOK_SECONDS
         self._note_role(self._router.follows_store(now))
         self._router.store_lost = self.store_lost
-        self._deliver(self._router.tick(now))
+        decisions = self._router.tick(now)
+        due = min(now + LOOK_SECONDS, self._router.next_due(now))
+        self._next_tick = max(now + LOOK_MIN_SECONDS, due)
+        self._deliver(decisions)
+
+    @property
+    def store_lost(self) -> bool:
+        """Whether the platform does not serve this box, as the task that watches found."""
+        return self._store_lost
+
+    @store_lost.setter
+    def store_lost(self, lost: bool) -> None:
+        self._store_lost = lost
+        self._want_store()
+
+    def _want_store(self) -> None:
+        if self.follows_store or self._store_lost:
+            self.store_wanted.set()
+        else:
+            self.store_wanted.clear()
+
+    def _tell_news(self) -> None:
+        if self.on_news is not None:
+            self.on_news()
 
     def _deliver(self, decisions: list[Decision]) -> None:
         now = self._clock()
@@ -121,6 +151,7 @@
     def _note_role(self, follows: bool) -> None:
         if follows != self.follows_store:
             self.follows_store = follows
+            self._want_store()
             self.log.info('watch_role.changed', watches=follows)
 
     @property
@@ -136,7 +167,7 @@
         taken = self._router.events.taken
         if taken != self._events_taken:
             self._events_taken = taken
-            self.urgent.set()
+            self._tell_news()
 
     def _admit(self, message: Admit) -> Admit:
         # Answered by _deliver, now or when the call has waited.
@@ -173,6 +204,7 @@
 
     def _use_settings(self, message: UseSettings) -> None:
         self._router.use_settings(message.tree)
+        self._tell_news()
 
     def _set_engines(self, message: SetEngines) -> None:
         if self.engines_listed.is_set() and 0 < message.version <= self._engines_version:
@@ -181,6 +213,7 @@
         self.listed_engines = message.engines
         self._engines_version = message.version
         self.engines_listed.set()
+        self._tell_news()
         self._deliver(decisions)
 
     def _set_boxes(self, message: SetBoxes) -> None:
@@ -190,6 +223,7 @@
         self.listed_boxes = message.boxes
         self._boxes_version = message.version
         self.boxes_listed.set()
+        self._tell_news()
         if self.on_boxes is not None:
             self.on_boxes(message.boxes)
 
@@ -199,7 +233,7 @@
     def _learn_holdings(self, message: LearnHoldings) -> None:
         self._router.holders.learn(message.engine, message.chats, self._clock())
         # Boxes that started together wait for it.
-        self.urgent.set()
+        self._tell_news()
 
     def _lists(self, message: WantLists) -> FleetLists:
         engines = self.listed_engines or []
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -75,7 +75,6 @@
     kind: ObjectKind
     watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
-    not_watching_seconds = NOT_WATCHING_SECONDS
     #: After a change, so that what changes together comes with one call.
     gather_seconds = 0.0
 
@@ -102,6 +101,10 @@
         """Whether this box is one that follows the collection."""
         return True
 
+    def wait_turn(self) -> None:
+        """Wait a while before it is asked again whether this box follows."""
+        self._stopped.wait(NOT_WATCHING_SECONDS)
+
     def listed(self, objects: list[PlatformObject]) -> None:
         """The whole collection was read."""
         raise NotImplementedError
@@ -120,7 +123,7 @@
         pause = RETRY_SECONDS
         while not self._stopped.is_set():
             if not self.wanted():
-                self._stopped.wait(self.not_watching_seconds)
+                self.wait_turn()
                 continue
             try:
                 self._follow()
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -23,8 +23,9 @@
 #: nothing else.
 WATCH_SECONDS = 3.0
 RETRY_MAX_SECONDS = 1.0
-#: How soon a box takes over a watch when it is its turn.
-NOT_WATCHING_SECONDS = 0.1
+#: A box that does not watch is told when its turn comes; so often its tasks look
+#: whether they are to stop, in seconds.
+STOP_LOOK_SECONDS = 5.0
 #: Servers and settings change in bursts: one call brings what came together.
 GATHER_SECONDS = 0.2
 #: How often a list that is not watched is read; more often at the start, for a
@@ -46,6 +47,10 @@
         decider = self._decider
         return decider.follows_store or decider.store_lost or not self._ready()
 
+    def wait_turn(self) -> None:
+        """Wait until it is this box's turn, or for a while."""
+        self._decider.store_wanted.wait(STOP_LOOK_SECONDS)
+
     def lost(self) -> None:
         """A call to the store failed."""
         self._decider.store_lost = True
@@ -65,7 +70,6 @@
     kind = ObjectKind.SETTINGS
     watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
-    not_watching_seconds = NOT_WATCHING_SECONDS
     gather_seconds = GATHER_SECONDS
 
     def __init__(
@@ -88,6 +92,10 @@
         """Whether it is this box's turn."""
         return self._watch.wanted()
 
+    def wait_turn(self) -> None:
+        """Wait until it is this box's turn, or for a while."""
+        self._watch.wait_turn()
+
     def unreachable(self) -> None:
         """The store does not serve this box."""
         self._watch.lost()
@@ -139,7 +147,6 @@
 
     watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
-    not_watching_seconds = NOT_WATCHING_SECONDS
     gather_seconds = GATHER_SECONDS
 
     def __init__(
@@ -161,6 +168,10 @@
         """Whether it is this box's turn."""
         return self._source.watch.wanted()
 
+    def wait_turn(self) -> None:
+        """Wait until it is this box's turn, or for a while."""
+        self._source.watch.wait_turn()
+
     def changed(self, kind: WatchKind, item: PlatformObject) -> None:
         """Replace or drop one item; what one watch tells is one version of the list."""
         self._note(kind, item)
--- a/packages/router/seamhold/peer_pulls.py
+++ b/packages/router/seamhold/peer_pulls.py
@@ -1,6 +1,5 @@
 """What a box takes from its peers where they have newer settings and lists."""
 
-import asyncio
 import random
 from collections.abc import Callable
 
@@ -8,6 +7,7 @@
 from seamhold_peers import FleetLists, PeerClient
 from seamhold_peers.client import BROKEN
 
+from .background import answer_of
 from .decider import Decider
 from .decisions import SetBoxes, SetEngines
 from .keeper import Offer, SettingsKeeper, WantKnown
@@ -117,8 +117,8 @@
             asking.discard(box)
 
     async def _settings(self, client: PeerClient, source: str) -> None:
-        known = await asyncio.wrap_future(self._keeper.ask(WantKnown()))
+        known = await answer_of(self._keeper.ask(WantKnown()))
         newer = await client.pull_settings(known)
         self._metrics.count('settings.pulls')
         if newer:
-            await asyncio.wrap_future(self._keeper.ask(Offer(newer, source)))
+            await answer_of(self._keeper.ask(Offer(newer, source)))
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -20,7 +20,7 @@
     PeerServer,
 )
 
-from .background import BackgroundWork
+from .background import BackgroundWork, answer_of
 from .config import BoxConfig, split_address
 from .context import Environment
 from .decider import Decider
@@ -81,11 +81,13 @@
         self._port: DigestPort | None = None
         self._pulls = PeerPulls(decider, keeper, metrics, chance, lambda: self.ready)
         self.holdings = HoldingsPull(decider, metrics, chance, environment.monotonic)
-        self._told_versions = (0, 0, 0)
         self._order = TellingOrder(chance)
         self._mean_digest_bytes = FIRST_DIGEST_BYTES
         self.loop = asyncio.new_event_loop()
         self._beside = BackgroundWork(self.loop)
+        #: Set when peers should be told at once.
+        self._news = asyncio.Event()
+        decider.on_news = self._wake
         self._handler: PeerHandler | None = None
         self._server: PeerServer | None = None
         self._thread = threading.Thread(target=self._run, name='peering', daemon=True)
@@ -157,21 +159,21 @@
         await asyncio.sleep(ROSTER_SECONDS)
 
     async def _until_next_round(self) -> None:
-        """Wait for the next round of telling; an exception cuts it short."""
+        """Wait for the next round of telling; news cuts it short."""
         pause = self._keeper.snapshot.tree.fleet.control.digest_seconds
-        ends = self.loop.time() + pause * self._chance.uniform(0.9, 1.1)
-        while (left := ends - self.loop.time()) > 0 and not self._urgent():
-            await asyncio.sleep(min(left, URGENT_SECONDS))
-
-    def _urgent(self) -> bool:
-        """Whether something new must be told now; asking forgets it."""
-        versions = (self._keeper.snapshot.total, *self._decider.list_versions)
-        changed = versions != self._told_versions
-        self._told_versions = versions
-        if self._decider.urgent.is_set():
-            self._decider.urgent.clear()
-            return True
-        return changed
+        try:
+            async with asyncio.timeout(pause * self._chance.uniform(0.9, 1.1)):
+                await self._news.wait()
+                # What comes together is told together.
+                await asyncio.sleep(URGENT_SECONDS)
+        except TimeoutError:
+            pass
+        self._news.clear()
+
+    def _wake(self) -> None:
+        """There is news: called on any thread, also before the loop runs."""
+        if not self.loop.is_closed():
+            self.loop.call_soon_threadsafe(self._news.set)
 
     def stop(self) -> None:
         """Tell nobody any more and stop listening."""
@@ -214,7 +216,7 @@
 
     async def _keep_roster(self) -> None:
         """Read who is there, and connect to whom this box did not know."""
-        report = await asyncio.wrap_future(self._decider.ask(WantReport()))
+        report = await answer_of(self._decider.ask(WantReport()))
         self.roster = report
         self.names.add(engine.name for engine in report.engines)
         self.names.add(self._keeper.snapshot.tree.workspaces)
@@ -277,7 +279,7 @@
             return False
         snapshot = self._keeper.snapshot
         want = WantDigests(tuple(names), snapshot.total, snapshot.fingerprint)
-        digests = await asyncio.wrap_future(self._decider.ask(want))
+        digests = await answer_of(self._decider.ask(want))
         sent = []
         for name, digest in zip(names, digests, strict=True):
             if not self._send(name, digest, sent):
--- a/packages/router/seamhold/tasks.py
+++ b/packages/router/seamhold/tasks.py
@@ -1,7 +1,10 @@
 """Tasks: a thread that owns its state and takes typed messages from a queue."""
 
+import math
 import queue
 import threading
+import time
+from collections import deque
 from concurrent.futures import Future
 
 from msgspec import Struct, field
@@ -91,3 +94,77 @@
         except Exception:
             # A task must outlive one bad message: it owns state others need.
             self.log.exception('task.error')
+
+
+class SerialTask(Task):
+    """A task whose messages are handled one at a time by the threads that bring them.
+
+    A thread that finds the task at rest handles its own message and what comes
+    meanwhile; one that finds it at work leaves its message there.  So a message
+    costs no switch of threads unless two meet.  The task's own thread only lets
+    time pass: it sleeps until `patience` is over.
+
+    It gains processor time where messages are many and small: 24 boxes on a calm day
+    of 50 s used 27 s where a queue and a thread for their decisions, woken every
+    0.05 s, used 38 s.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._waiting: deque[object] = deque()
+        self._turn = threading.Lock()
+        self._alarm = threading.Event()
+        self._stopped = False
+        #: When the task's own thread wakes, on the monotonic clock.
+        self._wakes_at = math.inf
+
+    def stop(self) -> None:
+        """End the task's own thread."""
+        self._stopped = True
+        self._alarm.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=5.0)
+
+    def send(self, message: object) -> None:
+        """Hand the task a message; it is handled in order."""
+        self._waiting.append(message)
+        self._work()
+
+    def ask(self, message: Ask) -> Future:
+        """Hand the task a message and get a future of its answer."""
+        self.send(message)
+        return message.reply
+
+    def _work(self) -> None:
+        # Asked again after each turn: a message may come just before it ends.
+        while self._waiting and self._turn.acquire(blocking=False):
+            try:
+                self._handle_waiting()
+                self._wake_in_time()
+            finally:
+                self._turn.release()
+
+    def _handle_waiting(self) -> None:
+        while self._waiting:
+            self._handle(self._waiting.popleft())
+
+    def _wake_in_time(self) -> None:
+        """Wake the task's own thread if it would sleep too long now."""
+        if self._next_wake() < self._wakes_at:
+            self._alarm.set()
+
+    def _next_wake(self) -> float:
+        patience = self.patience()
+        return math.inf if patience is None else time.monotonic() + patience
+
+    def _run(self) -> None:
+        while not self._stopped:
+            with self._turn:
+                self._wakes_at = self._next_wake()
+            left = self._wakes_at - time.monotonic()
+            woken = self._alarm.wait(None if left == math.inf else max(0.0, left))
+            self._alarm.clear()
+            if not woken:
+                with self._turn:
+                    self._guard(self.idle)
+            self._work()
--- a/packages/routing/seamhold_routing/health.py
+++ b/packages/routing/seamhold_routing/health.py
@@ -5,6 +5,7 @@
 its siblings is avoided for a while.
 """
 
+import math
 from collections.abc import Iterable
 
 from msgspec import Struct
@@ -63,6 +64,10 @@
         evidence = EVIDENCE.get(outcome)
         return evidence is not None and self._engines.failed(engine, now, evidence)
 
+    def next_late(self) -> float:
+        """When the next engine is late with its answer, infinity if none can be."""
+        return min((wait.slow_at for wait in self._waits.values()), default=math.inf)
+
     def eject_outliers(self, services: Iterable[str], now: float) -> list[str]:
         """Avoid the engines that fail far more than their siblings; names the new ones."""
         self._count_silent(now)
@@ -78,6 +83,6 @@
 
     def _count_silent(self, now: float) -> None:
         for call_id, wait in list(self._waits.items()):
-            if now > wait.slow_at:
+            if now >= wait.slow_at:
                 del self._waits[call_id]
                 self.failures.failed(wait.engine, now)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -27,6 +27,9 @@
 NO_ENGINE_RETRY_SECONDS = 1.0
 #: After an outage of the platform its list is whole again within this time.
 LIST_RECOVERY_SECONDS = 2.0
+#: How often calls that wait for any slot are looked at, in seconds, beside each
+#: time that a call ends or a peer tells its load.
+QUEUE_LOOK_SECONDS = 0.05
 
 
 class _Active(Struct):
@@ -261,6 +264,17 @@
 
     # Time.
 
+    def next_due(self, now: float) -> float:
+        """When a wait ends: of a call for its engine or a slot, or for an answer."""
+        due = self.health.next_late()
+        for service in self._services.values():
+            if len(service.queue):
+                due = min(due, now + QUEUE_LOOK_SECONDS)
+            for call_id in service.patient:
+                active = self._active.get(call_id)
+                due = min(due, active.patient_until if active else now)
+        return due
+
     def tick(self, now: float) -> list[Decision]:
         """Expire what waited too long and forget boxes that went silent."""
         self.exchange.forget_silent(now)
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,176 @@
+"""Tasks: who handles a message, and how seldom a task at rest wakes."""
+
+import threading
+import time
+
+import testtools
+
+from seamhold.decider import LOOK_SECONDS, Decider
+from seamhold.decisions import Admit, WantReport
+from seamhold.tasks import Ask, SerialTask
+from seamhold_messages.fleet import Engine
+from seamhold_messages.work import Call, Placed, Work
+from seamhold_routing import Router
+from seamhold_settings import FleetSpec, Tree
+from seamhold_settings.schema import Placement
+
+WAIT_SECONDS = 5
+PATIENCE_SECONDS = 0.05
+
+
+class Add(Ask):
+    """Asks for the sum so far; `then` is sent before it is answered."""
+
+    number: int
+    then: 'Add | None' = None
+
+
+class Sum(SerialTask):
+    """Adds numbers and notes who handled what."""
+
+    name = 'sum'
+
+    def __init__(self):
+        super().__init__()
+        self.total = 0
+        self.order = []
+        self.threads = []
+        self.idles = 0
+        self.due_in: float | None = None
+        self.woken = threading.Event()
+        self.handlers = {Add: self._add}
+
+    def patience(self) -> float | None:
+        return self.due_in
+
+    def idle(self) -> None:
+        self.idles += 1
+        self.due_in = None
+        self.woken.set()
+
+    def _add(self, message: Add) -> int:
+        if message.then is not None:
+            self.send(message.then)
+        self.order.append(message.number)
+        self.threads.append(threading.current_thread())
+        self.total += message.number
+        return self.total
+
+
+class TestSerialTask(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.task = Sum()
+        self.task.start()
+        self.addCleanup(self.task.stop)
+
+    def test_a_message_is_handled_by_the_thread_that_brings_it(self):
+        answer = self.task.ask(Add(2))
+        self.assertTrue(answer.done())
+        self.assertEqual(2, answer.result())
+        self.assertEqual([threading.current_thread()], self.task.threads)
+
+    def test_what_a_handler_sends_to_its_own_task_comes_after_it(self):
+        self.task.send(Add(1, then=Add(2)))
+        self.assertEqual([1, 2], self.task.order)
+
+    def test_messages_of_many_threads_are_handled_one_at_a_time(self):
+        def bring():
+            for _ in range(500):
+                self.task.send(Add(1))
+
+        threads = [threading.Thread(target=bring) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(WAIT_SECONDS)
+        self.assertEqual(4001, self.task.ask(Add(1)).result(WAIT_SECONDS))
+
+    def test_a_message_that_fails_fails_its_asker_alone(self):
+        answer = self.task.ask(Add('none'))
+        self.assertRaises(TypeError, answer.result)
+        self.assertEqual(1, self.task.ask(Add(1)).result())
+
+    def test_time_passes_only_when_something_is_due(self):
+        self.task.send(Add(1))
+        self.assertFalse(self.task.woken.wait(2 * PATIENCE_SECONDS))
+        self.task.due_in = PATIENCE_SECONDS
+        # The thread of the task sleeps without an end: a message brings it to look.
+        self.task.send(Add(1))
+        self.assertTrue(self.task.woken.wait(WAIT_SECONDS))
+        self.assertEqual(1, self.task.idles)
+
+
+class TestDeciderAtRest(testtools.TestCase):
+    """How often the decider wakes, counted by its looks at the routing state."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = 0.0
+        self.router = Router('box', 'x')
+        self.router.use_settings(Tree(FleetSpec(placement=Placement(patience=0.1))))
+        self.decider = Decider(self.router, lambda: self.now)
+        self.ticks = 0
+        ticking = self.router.tick
+
+        def tick(now):
+            self.ticks += 1
+            return ticking(now)
+
+        self.router.tick = tick
+
+    def pass_time(self, seconds: float) -> None:
+        """Let the clock jump from one due moment to the next."""
+        ends = self.now + seconds
+        while self.now + self.decider.patience() < ends:
+            self.now += self.decider.patience()
+            self.decider.idle()
+        self.now = ends
+
+    def test_a_box_at_rest_looks_around_twice_a_second(self):
+        self.pass_time(10.0)
+        self.assertLessEqual(self.ticks, 10 / LOOK_SECONDS + 1)
+
+    def test_a_call_that_waits_is_looked_at_when_its_wait_ends(self):
+        self.router.set_engines([Engine('e', 's', 'e:1', slots=1)], 0.0)
+        self.pass_time(1.2)
+        placed = self.decider.ask(Admit(Call('one', 'w', 's', 'chat', Work(1, 1), 60.0)))
+        self.assertIsInstance(placed.result(), Placed)
+        waiting = self.decider.ask(Admit(Call('two', 'w', 's', 'chat', Work(1, 1), 2.0)))
+        self.assertFalse(waiting.done())
+        self.pass_time(1.0)
+        self.assertTrue(waiting.done())
+
+    def test_an_engine_that_is_late_is_noticed_in_time(self):
+        self.router.set_engines([Engine('e', 's', 'e:1')], 0.0)
+        self.pass_time(1.0)
+        call = Call('one', 'w', 's', 'chat', Work(1, 1), 60.0, objective=0.15)
+        self.decider.ask(Admit(call)).result()
+        self.assertAlmostEqual(0.3, self.decider.patience(), 3)
+        self.pass_time(0.31)
+        self.assertEqual({'e': 1}, self.router.health.failures.own(self.now))
+
+    def test_time_that_passed_counts_with_the_next_message(self):
+        before = self.ticks
+        self.now += LOOK_SECONDS
+        self.decider.ask(WantReport()).result()
+        self.router.set_engines([], self.now)
+        self.decider.idle()
+        self.assertEqual(before + 1, self.ticks)
+
+
+class TestSleep(testtools.TestCase):
+    def test_a_task_without_anything_due_sleeps(self):
+        task = Sum()
+        waits = []
+        waiting = task._alarm.wait
+
+        def wait(timeout):
+            waits.append(timeout)
+            return waiting(timeout)
+
+        task._alarm.wait = wait
+        task.start()
+        self.addCleanup(task.stop)
+        time.sleep(0.2)
+        self.assertEqual([None], waits)
