A connection to a peer or a backend server that went silent is left within 3 s

Cause: connections may go silent for good without a reset. A peer's channel was kept after a pull ran into its time-out, so every later pull waited on it; a backend server's connection was read until the call's deadline (8 s and more). Ruled out: the store's client (each call has a time-out of its own, 1 s, and a watch of what it asked for and 0.7 s; the connection is dropped with it). Change: a channel is closed when an answer does not come in time; connections to backend servers are probed after 1 s without data, twice. Tests: the peer's one failed before (1 connection for 2 pulls); that of the probes reads the socket's options.

--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -38,7 +39,7 @@
 
     async def pull_settings(self, known: dict[str, int]) -> list[Candidate]:
         """Settings objects that the peer has newer; raises one of BROKEN."""
-        async with asyncio.timeout(PULL_SECONDS):
+        async with self._answer_within(PULL_SECONDS):
             page = await self._stub.pull_settings(codec.SettingsKnown(known))
         return [codec.decode_candidate(item) for item in page.objects]
 
@@ -47,12 +48,12 @@
 
         With `holdings` also which engines the peer takes to hold which chats.
         """
-        async with asyncio.timeout(PULL_SECONDS):
+        async with self._answer_within(PULL_SECONDS):
             return codec.decode_lists(await self._stub.pull_lists(codec.ListsWanted(holdings)))
 
     async def pull_learned(self) -> tuple[Holding, ...]:
         """What engines told the peer of the chats that they hold; raises one of BROKEN."""
-        async with asyncio.timeout(PULL_SECONDS):
+        async with self._answer_within(PULL_SECONDS):
             return codec.decode_holdings(await self._stub.pull_learned(codec.LearnedWanted()))
 
     async def relay(self, call: RelayedCall) -> AsyncIterator[AnswerPart]:
@@ -74,12 +75,26 @@
     async def claim(self, ask: ClaimAsk) -> ClaimState:
         """Have the peer write a claim; raises ClaimsUnavailable."""
         try:
-            async with asyncio.timeout(ask.wait):
+            async with self._answer_within(ask.wait):
                 reply = await self._stub.claim(ask)
         except BROKEN as error:
             raise ClaimsUnavailable(f'the box that writes the bucket: {error}') from error
         return ClaimState(reply.state)
 
+    @asynccontextmanager
+    async def _answer_within(self, seconds: float) -> AsyncIterator[None]:
+        """Wait no longer, and call the peer on a new connection after that.
+
+        A connection may go silent without a reset: it would keep every later call
+        from a peer that is there.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                yield
+        except TimeoutError:
+            self._channel.close()
+            raise
+
     def close(self) -> None:
         """Drop the connection."""
         self._channel.close()
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -39,6 +39,12 @@
 CONNECT_SECONDS = 0.4
 #: Unacknowledged data is given up after this, in milliseconds.
 USER_TIMEOUT_MS = 2000
+#: A connection on which nothing comes is probed after so many seconds, and so often.
+#: One that went silent without a reset is noticed within 3 s, not at the call's
+#: deadline, which is 8 s and more for streams.
+PROBE_AFTER_SECONDS = 1
+PROBE_EACH_SECONDS = 1
+PROBES_MAX = 2
 READ_BYTES = 64 * 1024
 RETRY_AFTER_SECONDS = 0.25
 #: Headers that urllib3 would add by itself.
@@ -46,6 +52,10 @@
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EACH_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX),
 )
 BROKEN = (urllib3.exceptions.HTTPError, HTTPException, OSError, ValueError)
 TIMED_OUT = (TimeoutError, urllib3.exceptions.TimeoutError)
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,68 @@
+"""Connections that go silent for good, without a reset."""
+
+import asyncio
+import socket
+
+import testtools
+
+from seamhold.forwarding.backends import (
+    PROBE_AFTER_SECONDS,
+    PROBE_EACH_SECONDS,
+    PROBES_MAX,
+    BackendConnections,
+)
+from seamhold_messages.work import Placed
+from seamhold_peers import PeerClient, client
+
+NOTICED_SECONDS = 3
+
+
+class SilentPeer:
+    """Takes connections and says nothing on them."""
+
+    def __init__(self):
+        self.connections = 0
+
+    async def start(self) -> asyncio.Server:
+        return await asyncio.start_server(self._taken, '127.0.0.1', 0)
+
+    async def _taken(self, reader, writer) -> None:
+        self.connections += 1
+        await reader.read()
+        writer.close()
+
+
+class TestSilence(testtools.TestCase):
+    def test_a_peer_that_says_nothing_is_called_anew_the_next_time(self):
+        self.patch(client, 'PULL_SECONDS', 0.1)
+
+        async def pull_twice() -> int:
+            peer = SilentPeer()
+            async with await peer.start() as server:
+                host, port = server.sockets[0].getsockname()
+                caller = PeerClient(f'{host}:{port}')
+                for _ in range(2):
+                    try:
+                        await caller.pull_lists()
+                    except client.BROKEN:
+                        pass
+                await asyncio.sleep(0.05)
+                caller.close()
+            return peer.connections
+
+        self.assertEqual(2, asyncio.run(pull_twice()))
+
+    def test_a_backend_server_that_falls_silent_is_noticed_within_seconds(self):
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            host, port = server.getsockname()
+            placed = Placed('call', 'engine', f'{host}:{port}', 0, False)
+            connection = BackendConnections(None)._connect(placed, 1.0)
+            self.addCleanup(connection.close)
+            told = [
+                connection.sock.getsockopt(socket.IPPROTO_TCP, option)
+                for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+            ]
+            self.assertEqual([PROBE_AFTER_SECONDS, PROBE_EACH_SECONDS, PROBES_MAX], told)
+            self.assertTrue(connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        noticed = PROBE_AFTER_SECONDS + PROBE_EACH_SECONDS * PROBES_MAX
+        self.assertLessEqual(noticed, NOTICED_SECONDS)
