--- a/packages/routing/seamhold_routing/watchers.py
+++ b/packages/routing/seamhold_routing/watchers.py
@@ -1,7 +1,7 @@
 """Which boxes watch the platform's store for all, and when the store is away."""
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 from seamhold_membership import BoxView
 from seamhold_placement import Ranking
@@ -93,7 +93,7 @@
         first_seen = now if self._looked or self._began is None else self._began
         self._looked = True
         watching = 0
-        for name in self._ranking.order(WATCHERS_KEY):
+        for name in self._in_rank():
             if watching >= WATCHERS:
                 break
             if name in lost:
@@ -107,6 +107,12 @@
         self._heard = {name: at for name, at in self._heard.items() if name in self._expected}
         return False
 
+    def _in_rank(self) -> Iterator[str]:
+        """All boxes in rank; the first few, which are kept at hand, nearly always do."""
+        first = self._ranking.first(WATCHERS_KEY)
+        yield from first
+        yield from self._ranking.order(WATCHERS_KEY)[len(first) :]
+
 
 def store_away(
     lost: bool, boxes: BoxView, control: Control, seen_at: float | None, now: float
