--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -77,6 +77,9 @@
     retry_max_seconds = RETRY_MAX_SECONDS
     #: After a change, so that what changes together comes with one call.
     gather_seconds = 0.0
+    #: The same while a box starts, and how long that is.
+    starting_gather_seconds = 0.0
+    starting_seconds = 0.0
 
     def __init__(self, platform: ObjectStore, metrics: Metrics, chance: random.Random):
         self.platform = platform
@@ -86,6 +89,7 @@
         self.log = logger(f'follow-{self.kind}')
         self._chance = chance
         self._lost_at: float | None = None
+        self._starting_until = time.monotonic() + self.starting_seconds
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f'follow-{self.kind}', daemon=True)
 
@@ -155,7 +159,13 @@
             changed = self._watch_once()
             self.answered()
             if changed:
-                self._stopped.wait(self.gather_seconds)
+                self._stopped.wait(self._gather())
+
+    def _gather(self) -> float:
+        """How long to wait for what changes together, in seconds."""
+        if time.monotonic() < self._starting_until:
+            return self.starting_gather_seconds
+        return self.gather_seconds
 
     def _watch_once(self) -> bool:
         """Take what changes next; whether anything did."""
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -20,20 +20,26 @@
 from ..metrics import Metrics
 from ..ports import ObjectStore
 
-#: Watches are short: a connection that was cut off silently is noticed by
-#: nothing else.
-WATCH_SECONDS = 3.0
+#: How long the store may hold a watch, in seconds.  The connection is probed
+#: meanwhile; what changed before stays in the store's history for 20 s.
+WATCH_SECONDS = 8.0
+#: A change that a box sees as it starts is one of many where a fleet starts, and its
+#: turn to watch may be over a second later: 19 boxes that started together watched
+#: four times each.  In seconds, and for so many seconds.
+STARTING_GATHER_SECONDS = 1.0
+STARTING_SECONDS = 2.0
 RETRY_MAX_SECONDS = 1.0
 #: A box that does not watch is told when its turn comes; so often its tasks look
 #: whether they are to stop, in seconds.
 STOP_LOOK_SECONDS = 5.0
 #: Servers and settings change in bursts: one call brings what came together.
 GATHER_SECONDS = 0.2
-#: How often a list that is not watched is read; more often at the start, for a
-#: while, until it names others.
+#: How often a list that is not watched is read, in seconds; more often at the start,
+#: the second time at least and for a while until it names others.
 POLL_SECONDS = 3.0
 ALONE_POLL_SECONDS = 0.7
 ALONE_POLLS = 20
+STARTING_POLLS = 2
 
 
 class StoreWatch:
@@ -77,6 +83,8 @@
     watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
     gather_seconds = GATHER_SECONDS
+    starting_gather_seconds = STARTING_GATHER_SECONDS
+    starting_seconds = STARTING_SECONDS
 
     def __init__(
         self,
@@ -158,6 +166,8 @@
     watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
     gather_seconds = GATHER_SECONDS
+    starting_gather_seconds = STARTING_GATHER_SECONDS
+    starting_seconds = STARTING_SECONDS
 
     def __init__(
         self,
@@ -211,24 +221,27 @@
     know each other yet.
     """
 
-    _alone_polls = 0
+    _first_polls = 0
 
     def _follow(self) -> None:
         while not self._stopped.is_set() and self.wanted():
-            alone = self._looks_for_others()
-            page = self.platform.list(self.kind, stale=not alone)
+            starting = self._is_starting()
+            page = self.platform.list(self.kind, stale=not starting)
             self._note_regained()
             self.answered()
             self.version = page.version
             self.listed(page.objects)
-            self._stopped.wait(ALONE_POLL_SECONDS if alone else POLL_SECONDS)
+            self._stopped.wait(ALONE_POLL_SECONDS if starting else POLL_SECONDS)
 
-    def _looks_for_others(self) -> bool:
-        """Whether this box knows no other, and has not looked for long."""
+    def _is_starting(self) -> bool:
+        """Whether boxes that start beside this one may be missing here.
+
+        They write themselves into the list within a moment.
+        """
+        self._first_polls += 1
         if len(self._known() or []) > 1:
-            return False
-        self._alone_polls += 1
-        return self._alone_polls <= ALONE_POLLS
+            return self._first_polls <= STARTING_POLLS
+        return self._first_polls <= ALONE_POLLS
 
 
 def _by_name(items: list) -> dict:
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -167,8 +167,9 @@
 class Control(Strict):
     """What a box may spend on control traffic, and how often it speaks.
 
-    Each `digest_seconds` it tells `digest_peers` of its peers, in turn; these pass on
-    what is news.  Hearing a digest is the dearest part of it.
+    Each `digest_seconds` it tells `digest_peers` of its peers, in turn, and these pass
+    on what is news.  Where engines tell nothing of their load, a peer that is told less
+    often knows less of it.
 
     A service's retries within any `retry_window_seconds`, over all boxes, stay
     below `retry_budget_ratio` of its calls and `retry_reserve` more.
@@ -176,7 +177,7 @@
 
     control_bytes_per_second: Annotated[int, Meta(ge=256, le=8192)] = 2048
     digest_seconds: Annotated[float, Meta(ge=0.05, le=5)] = 0.3
-    digest_peers: Annotated[int, Meta(ge=1, le=100)] = 5
+    digest_peers: Annotated[int, Meta(ge=1, le=100)] = 12
     retry_budget_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     retry_window_seconds: Annotated[float, Meta(gt=0, le=600)] = 10.0
     retry_reserve: Annotated[float, Meta(ge=0, le=100_000)] = 80.0
