News that is old dies out; what is passed on has modules of its own

Ruled out: readings of load (their age is bounded already) and holdings (a box takes each once in 30 s).

--- a/packages/membership/seamhold_membership/outliers.py
+++ b/packages/membership/seamhold_membership/outliers.py
@@ -53,7 +53,13 @@
         return FailureReport(box, server, self.own(now)[server], stamp, incarnation_key)
 
     def heard(self, report: FailureReport, now: float) -> bool:
-        """Another box's report, maybe passed on; False if it is not news."""
+        """Another box's report, maybe passed on; False if it is not news.
+
+        One that is too old to count is none: it was forgotten here, and would be
+        taken for news each time that it comes round.
+        """
+        if report.age >= TOLD_SECONDS:
+            return False
         key = (report.origin, report.engine)
         held = self._told.get(key)
         if held is not None and (report.stamp - held.stamp) % STAMP_SPAN >= STAMP_SPAN // 2:
--- a/packages/peers/seamhold_peers/__init__.py
+++ b/packages/peers/seamhold_peers/__init__.py
@@ -10,7 +10,8 @@
 )
 from .client import PeerClient
 from .datagrams import DigestPort, EncodedDigest
-from .digest_codec import MESSAGE_OVERHEAD_BYTES, DigestReader, NameTable, encode_digest
+from .digest_codec import MESSAGE_OVERHEAD_BYTES, DigestReader, encode_digest
+from .names import NameTable
 from .server import PeerHandler, PeerServer
 
 __all__ = [
--- a/packages/peers/seamhold_peers/datagrams.py
+++ b/packages/peers/seamhold_peers/datagrams.py
@@ -7,7 +7,8 @@
 
 from seamhold_membership import Digest
 
-from .digest_codec import MESSAGE_OVERHEAD_BYTES, DigestReader, NameTable, encode_digest
+from .digest_codec import MESSAGE_OVERHEAD_BYTES, DigestReader, encode_digest
+from .names import NameTable
 
 #: Larger ones are split on the way, and one lost part loses the whole.
 DATAGRAM_MAX_BYTES = 1400
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -2,10 +2,8 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from typing import Generic, TypeVar
 
 from msgspec import Struct, field
-from msgspec.structs import replace
 
 from seamhold_limits import WorkspaceLimits
 from seamhold_membership import (
@@ -17,32 +15,21 @@
     Event,
     EventKind,
     EventLog,
-    RelayLog,
 )
 from seamhold_messages.fleet import Phase
-from seamhold_messages.work import FailureReport, Holding, LoadReading, Suspect, WatchWord
+from seamhold_messages.work import FailureReport, LoadReading, Suspect, WatchWord
 from seamhold_placement import HolderTable, LoadTable
 
 from .beliefs import HEARD_SOURCE, SILENCE_SOURCE, Belief, belief_from
 from .health import EngineHealth
+from .relaying import NEWS_SECONDS, Relaying
 from .watchers import WatchRota
 
 #: Events that one digest carries at most.
 EVENTS_PER_DIGEST = 4
-#: Readings of engines' load that one digest carries at most, 7 bytes each: at 8 KB a
-#: second 28 digests with as many reach each of 112 engines 8 times a second.
-READINGS_PER_DIGEST = 32
-#: Reports of failing engines that one digest carries at most, 19 bytes each.
-REPORTS_PER_DIGEST = 12
-#: Boxes that watch the platform that one digest tells of at most, 5 bytes each.
-WATCHERS_PER_DIGEST = 8
 #: Word that was passed on is newer if it is by so much, in seconds: its age does not
 #: count the time on its way.
 NEWER_SECONDS = 0.05
-#: Holdings that one digest carries at most, 8 bytes each.
-HOLDINGS_PER_DIGEST = 40
-
-News = TypeVar('News', LoadReading, FailureReport, WatchWord)
 
 
 class Versions(Struct, frozen=True):
@@ -70,17 +57,6 @@
     beliefs: list[Belief] = field(default_factory=list)
 
 
-class _Dated(Struct, Generic[News], frozen=True):
-    """A piece of news and since when it is so old as it says."""
-
-    news: News
-    at: float
-
-    def now(self, now: float) -> News:
-        """The news with its age now."""
-        return replace(self.news, age=self.news.age + now - self.at)
-
-
 class PeerExchange:
     """Makes a box's digests out of what it knows, and adds what peers tell to it."""
 
@@ -93,10 +69,7 @@
         self._receiver = DigestReceiver()
         #: Neighbours that were silent at the last look.
         self._silent: set[str] = set()
-        self._readings: RelayLog[str, _Dated[LoadReading]] = RelayLog()
-        self._reports: RelayLog[tuple[str, str], _Dated[FailureReport]] = RelayLog()
-        self._holdings: RelayLog[Holding, Holding] = RelayLog()
-        self._watch_words: RelayLog[str, _Dated[WatchWord]] = RelayLog()
+        self._relaying = Relaying()
         self.rota = WatchRota(box)
         #: Whether this box watches the platform's store for all, and is served.
         self.watching = False
@@ -125,7 +98,7 @@
     def _take_news(self, digest: Digest, now: float) -> None:
         """Believe what the peer passed on, and pass on what is new here."""
         for holding in self._known.holders.told(digest.held, now):
-            self._holdings.put(holding, holding)
+            self._relaying.holding(holding)
         for reading in digest.readings:
             self.note_load(reading, now)
         for report in digest.reports:
@@ -137,9 +110,11 @@
 
     def _hear_of_watcher(self, word: WatchWord, now: float) -> None:
         at = now - word.age
-        if word.box != self._box and at > self.rota.heard_at(word.box) + NEWER_SECONDS:
+        if word.box == self._box or word.age > NEWS_SECONDS:
+            return
+        if at > self.rota.heard_at(word.box) + NEWER_SECONDS:
             self.rota.heard(word.box, at)
-            self._watch_words.put(word.box, _Dated(word, now))
+            self._relaying.word(word, now)
 
     def store_seen(self, at: float) -> None:
         """The platform answered some box then."""
@@ -150,18 +125,18 @@
         """This box sent a call of `chat` to `engine`, which reads it."""
         holding = self._known.holders.placed(chat, engine, now)
         if holding is not None:
-            self._holdings.put(holding, holding)
+            self._relaying.holding(holding)
 
     def note_load(self, reading: LoadReading, now: float) -> None:
         """An engine told its load, to this box or to another."""
         if self._known.loads.read(reading, now):
-            self._readings.put(reading.engine, _Dated(reading, now))
+            self._relaying.reading(reading, now)
 
     def _hear_of_failures(self, report: FailureReport, now: float) -> None:
         known = self._known
         if report.origin == self._box or not known.health.heard(report, now):
             return
-        self._reports.put((report.origin, report.engine), _Dated(report, now))
+        self._relaying.report(report, now)
         if not report.incarnation_key:
             return
         suspect = Suspect(report.engine, report.incarnation_key)
@@ -230,25 +205,16 @@
             store_age=None if self.store_seen_at is None else now - self.store_seen_at,
         )
         if self.watching:
-            self._watch_words.put(self._box, _Dated(WatchWord(self._box), now))
+            self._relaying.word(WatchWord(self._box), now)
         for report in known.health.new_reports(self._box, now):
-            self._reports.put((report.origin, report.engine), _Dated(report, now))
+            self._relaying.report(report, now)
         return [self._digest_for(peer, truth, now) for peer in peers]
 
     def _digest_for(self, peer: str, truth: Digest, now: float) -> Digest:
-        readings = self._readings.take(READINGS_PER_DIGEST)
-        reports = self._reports.take(REPORTS_PER_DIGEST)
-        words = self._watch_words.take(WATCHERS_PER_DIGEST)
-        message = replace(
-            self._sender.next_for(peer, truth, self._receiver.last(peer)),
-            held=tuple(self._holdings.take(HOLDINGS_PER_DIGEST)),
-            readings=tuple(dated.now(now) for dated in readings),
-            reports=tuple(dated.now(now) for dated in reports),
-            watchers=tuple(dated.now(now) for dated in words),
-        )
+        message = self._sender.next_for(peer, truth, self._receiver.last(peer))
         # Counted as told even if it is not sent: that only delays a share.
         self._known.limits.digest_sent(peer, message.seq, truth.usage)
-        return message
+        return self._relaying.attached_to(message, now)
 
     def digests_sent(self, digests: Iterable[Digest]) -> None:
         """Messages went out."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -24,6 +24,7 @@
 )
 from seamhold_membership.gossip import REPORTERS_FOR_GONE
 from seamhold_membership.neighbours import neighbours
+from seamhold_membership.outliers import TOLD_SECONDS
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import FailureReport, Holding, Suspect, Usage, Work
@@ -77,6 +78,14 @@
         self.assertFalse(counts.heard(first, 1.3))
         self.assertEqual({'a': 2}, counts.totals(1.4))
 
+    def test_a_report_that_is_old_is_no_news_however_often_it_comes(self):
+        counts = FailureCounts()
+        old = FailureReport('other', 'a', 4, 1, age=TOLD_SECONDS)
+        self.assertTrue(counts.heard(FailureReport('other', 'a', 4, 1), 1.0))
+        counts.totals(1.0 + TOLD_SECONDS)
+        self.assertFalse(counts.heard(old, 1.0 + TOLD_SECONDS))
+        self.assertFalse(counts.heard(old, 9.0))
+
     def test_a_box_tells_what_it_met_and_when_it_suspects(self):
         view = EngineView()
         view.set_list([engine('a')], 0.0)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -5,6 +5,7 @@
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from seamhold_membership import Digest, RelayLog
 from seamhold_membership.relay import WAITING_MAX
@@ -14,6 +15,7 @@
 from seamhold_placement import LoadTable
 from seamhold_placement.load import NEWER_SECONDS, READING_SECONDS
 from seamhold_routing import Router, Versions
+from seamhold_routing.relaying import NEWS_SECONDS
 from seamhold_routing.watchers import WATCHERS, WatchRota
 
 
@@ -193,6 +195,20 @@
         self.pass_along(1.5)
         self.assertAlmostEqual(1.0, self.routers[3].exchange.store_seen_at, delta=0.1)
 
+    def test_word_of_a_watcher_that_stopped_dies_out(self):
+        router = self.routers[0]
+        (digest,) = router.digests_for(['peer'], Versions(), 1.0)
+        told = set()
+        for step in range(8):
+            now = 1.0 + step
+            word = WatchWord('box-1', age=float(step))
+            router.hear(replace(digest, box='box-2', watchers=(word,)), now)
+            router.follows_store(now)
+            (message,) = router.digests_for(['peer'], Versions(), now)
+            if any(word.box == 'box-1' for word in message.watchers):
+                told.add(step)
+        self.assertEqual(set(range(int(NEWS_SECONDS) + 1)), told)
+
     def test_all_that_is_passed_on_survives_the_way(self):
         digest = Digest(
             'box-0',
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -28,7 +28,7 @@
     encode_lists,
 )
 from seamhold_routing import Router, Versions
-from seamhold_routing.exchange import HOLDINGS_PER_DIGEST
+from seamhold_routing.relaying import HOLDINGS_PER_DIGEST
 from seamhold_settings import Candidate
 from seamhold_settings.tree import TREE_OBJECT
 
