A box tells how old its knowledge is, in all and for each call

Cause: at hundreds of boxes what a box knows is passed on, and a person on call could not see how old it is. Ruled out: gauges in /metrics (a scrape would have to ask the decider). Change: /status has knowledge (the store's last answer to anyone, readings and the oldest of them, chats); each attempt in a call's line has load_age.

--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -111,7 +111,8 @@
     `spilled` tells that it is not the one that holds the chat's cache, as
     far as that is known; `fetch_engine` is one that should, at `fetch_from`, and
     `holders` counts those that are known.  `load` and `mean` are the calls that
-    the box knew on the engine and on the average one when it decided.
+    the box knew on the engine and on the average one when it decided; `load_age` is
+    how long before the engine had told it, in seconds, None if boxes told it.
     """
 
     call_id: str
@@ -125,6 +126,7 @@
     holders: int = 0
     load: int = 0
     mean: float = 0.0
+    load_age: float | None = None
 
 
 class Refused(Struct, frozen=True):
--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -188,6 +188,15 @@
         unsent = self._unsent.get(engine)
         return known if unsent is None else known + self._growth(unsent)
 
+    def reading_age(self, engine: str, now: float) -> float | None:
+        """Seconds since the engine told its load, None if boxes' own words are used."""
+        reading = self._readings.get(engine)
+        return None if reading is None else now - reading.at
+
+    def reading_ages(self, now: float) -> list[float]:
+        """How old each engine's reading is, in seconds."""
+        return [now - reading.at for reading in self._readings.values()]
+
     def total(self, group: str) -> Work:
         """The best guess of all work on the engines of `group` now."""
         return self._group_known[group] + self._growth(self._group_unsent[group])
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -31,6 +31,7 @@
     EngineTold,
     Hear,
     HearHoldings,
+    KnowledgeReport,
     LearnHoldings,
     Leaving,
     SetBoxes,
@@ -290,4 +291,15 @@
             tuple(box.name for box in router.boxes.neighbours()),
             tuple(engines),
             dict(sorted(router.counts.items())),
+            self._knowledge(now),
+        )
+
+    def _knowledge(self, now: float) -> KnowledgeReport:
+        seen_at = self._router.exchange.store_seen_at
+        ages = self._router.loads.reading_ages(now)
+        return KnowledgeReport(
+            None if seen_at is None else round(now - seen_at, 3),
+            len(ages),
+            round(max(ages), 3) if ages else None,
+            len(self._router.holders),
         )
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -159,6 +159,19 @@
     tokens: int
 
 
+class KnowledgeReport(Struct, frozen=True):
+    """How old what this box knows of the fleet is, in seconds.
+
+    `store` is how long ago the platform last answered any box, `oldest_reading` how
+    old the load is that the quietest engine told; None if there is none.
+    """
+
+    store: float | None
+    readings: int
+    oldest_reading: float | None
+    held_chats: int
+
+
 class DeciderReport(Struct, frozen=True):
     """What the decider shows on the status page and to other tasks."""
 
@@ -168,6 +181,7 @@
     neighbours: tuple[str, ...]
     engines: tuple[EngineReport, ...]
     counts: dict[str, int]
+    knowledge: KnowledgeReport = KnowledgeReport(None, 0, None, 0)
 
 
 class WantReport(Ask):
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -164,6 +164,7 @@
             'in_flight': report.in_flight,
             'live_boxes': list(report.live_boxes),
             'engines': [to_builtins(engine) for engine in report.engines],
+            'knowledge': to_builtins(report.knowledge),
             'counts': report.counts,
         }
 
--- a/packages/router/seamhold/operators.py
+++ b/packages/router/seamhold/operators.py
@@ -75,6 +75,7 @@
                 'draining': self._gate.draining,
                 'calls': self._gate.active,
                 'in_flight': decider.in_flight,
+                'knowledge': to_builtins(decider.knowledge),
                 'boxes': [to_builtins(box) for box in decider.boxes],
                 'engines': [to_builtins(engine) for engine in decider.engines],
                 'settings': to_builtins(settings),
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -66,6 +66,7 @@
             'fetched_from': placed.fetch_engine,
             'load': placed.load,
             'mean': placed.mean,
+            'load_age': None if placed.load_age is None else round(placed.load_age, 3),
             'outcome': self.outcome,
             'code': self.code,
             'answered': None if self.answered is None else round(self.answered - self.began, 3),
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -249,6 +249,7 @@
             len(holders),
             load,
             round(mean, 2),
+            self._loads.reading_age(choice.name, now),
         )
 
     @staticmethod
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
+from seamhold.decider import Decider
+from seamhold.decisions import KnowledgeReport, WantReport
 from seamhold_membership import Digest, RelayLog
 from seamhold_membership.relay import WAITING_MAX
 from seamhold_messages.fleet import Box, Engine, Phase
@@ -170,6 +172,24 @@
         self.pass_along(1.1)
         self.assertEqual(5, self.routers[3].loads.estimate('e1').requests)
 
+    def test_a_placement_tells_how_old_the_load_is_that_decided_it(self):
+        router = self.routers[0]
+        call = Call('one', 'w', 's', 'chat', Work(1, 1), 9.0)
+        (placed,) = router.admit(call, 1.0)
+        self.assertIsNone(placed.load_age)
+        router.engine_told(placed.engine, 1, 1.1)
+        (placed,) = router.admit(replace(call, id='two'), 1.4)
+        self.assertAlmostEqual(0.3, placed.load_age)
+
+    def test_a_box_tells_how_old_what_it_knows_is(self):
+        decider = Decider(self.routers[0], lambda: 2.0)
+        knowledge = decider.ask(WantReport()).result().knowledge
+        self.assertEqual(KnowledgeReport(None, 0, None, 0), knowledge)
+        self.routers[0].store_answered(0.5)
+        self.routers[0].engine_told('e1', 2, 1.75)
+        knowledge = decider.ask(WantReport()).result().knowledge
+        self.assertEqual(KnowledgeReport(1.5, 1, 0.25, 0), knowledge)
+
     def test_an_engine_that_is_not_listed_tells_nothing(self):
         self.routers[0].engine_told('gone', 5, 1.0)
         self.pass_along(1.1)
