--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -22,8 +22,9 @@
 
 from seamhold_messages.work import NO_WORK, LoadReading, Work
 
-#: How long a reading stands for an engine's load, in seconds.  Its own calls tell a
-#: box more, and an engine of whom nobody heard for so long may be stuck.
+#: How long a reading stands for an engine's load, in seconds: some answers a second
+#: tell of each engine that works, so one of whom nobody heard for so long is at rest
+#: or stuck.
 READING_SECONDS = 2.0
 #: A reading that was passed on is newer if it is by so much, in seconds.  Its age
 #: does not count the time on its way: without this an old one that went round might
@@ -77,6 +78,7 @@
         self._own[engine] = left
         if left.requests <= 0:
             del self._own[engine]
+        # A reading may have told already that it ended.
         if engine not in self._readings or self._known.get(engine, NO_WORK).requests > 0:
             self._shift_known(engine, NO_WORK - work)
         self._note_change(engine, NO_WORK - work, now)
@@ -118,6 +120,9 @@
                 del self._readings[engine]
                 told = (loads.get(engine, NO_WORK) for loads in self._peers.values())
                 self._set_known(engine, sum(told, self._own.get(engine, NO_WORK)))
+        for engine, changes in list(self._changes.items()):
+            if changes[-1].at < now - READING_SECONDS:
+                del self._changes[engine]
 
     def digest_sent(self) -> None:
         """Peers are told; from here on only new work counts as unsent."""
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -117,6 +117,13 @@
         self.assertEqual(3, self.requests())
         self.assertEqual(3, self.table.total('s').requests)
 
+    def test_nothing_is_kept_of_engines_that_come_and_go(self):
+        for number in range(50):
+            self.table.start(f'e{number}', Work(1, 10), number)
+            self.table.finish(f'e{number}', Work(1, 10), number)
+            self.table.expire(float(number))
+        self.assertLess(len(self.table._changes), 5)
+
     def test_boxes_are_told_only_what_engines_do_not_tell(self):
         self.table.start('e', Work(1, 10), 0.0)
         self.table.start('f', Work(1, 10), 0.0)
