--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -18,7 +18,7 @@
     Holding,
     LoadReading,
     Usage,
-    WatchWord,
+    WatcherHeartbeat,
     Work,
 )
 
@@ -65,7 +65,7 @@
     readings: tuple[LoadReading, ...] = ()
     reports: tuple[FailureReport, ...] = ()
     store_age: float | None = None
-    watchers: tuple[WatchWord, ...] = ()
+    watchers: tuple[WatcherHeartbeat, ...] = ()
 
     @property
     def full(self) -> bool:
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -91,7 +91,7 @@
     age: float = 0.0
 
 
-class WatchWord(Struct, frozen=True):
+class WatcherHeartbeat(Struct, frozen=True):
     """A box that watched the platform's store for all, `age` seconds ago."""
 
     box: str
--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -16,17 +16,17 @@
 
 from .names import NameTable, pack_names, unpack
 from .news_codec import (
+    HeartbeatColumns,
     HoldingColumns,
     NewsReader,
     ReadingColumns,
     ReportColumns,
-    WatchColumns,
     age_seconds,
     age_steps,
+    heartbeat_columns,
     holding_columns,
     reading_columns,
     report_columns,
-    watch_columns,
 )
 
 #: Bytes around one datagram: UDP 8 and IP 20.
@@ -88,7 +88,7 @@
     readings: ReadingColumns | None = None
     reports: ReportColumns | None = None
     store_age: int | None = None
-    watchers: WatchColumns | None = None
+    watchers: HeartbeatColumns | None = None
 
 
 def start_key(incarnation: str) -> int:
@@ -120,7 +120,7 @@
             reading_columns(digest.readings),
             report_columns(digest.reports),
             None if digest.store_age is None else age_steps(digest.store_age),
-            watch_columns(digest.watchers),
+            heartbeat_columns(digest.watchers),
         )
     )
 
--- a/packages/peers/seamhold_peers/news_codec.py
+++ b/packages/peers/seamhold_peers/news_codec.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from seamhold_messages.work import FailureReport, Holding, LoadReading, WatchWord
+from seamhold_messages.work import FailureReport, Holding, LoadReading, WatcherHeartbeat
 
 from .names import NameTable, pack, pack_names, unpack
 
@@ -36,7 +36,7 @@
     ages: list[int]
 
 
-class WatchColumns(Struct, frozen=True, array_like=True):
+class HeartbeatColumns(Struct, frozen=True, array_like=True):
     """Boxes that watch the platform's store; keys are packed."""
 
     boxes: bytes
@@ -98,13 +98,14 @@
     )
 
 
-def watch_columns(words: Iterable[WatchWord]) -> WatchColumns | None:
+def heartbeat_columns(heartbeats: Iterable[WatcherHeartbeat]) -> HeartbeatColumns | None:
     """Which boxes watch the platform, None if there is nothing."""
-    found = list(words)
+    found = list(heartbeats)
     if not found:
         return None
-    return WatchColumns(
-        pack_names(word.box for word in found), [age_steps(word.age) for word in found]
+    return HeartbeatColumns(
+        pack_names(heartbeat.box for heartbeat in found),
+        [age_steps(heartbeat.age) for heartbeat in found],
     )
 
 
@@ -131,13 +132,13 @@
             if name := self._names.name(key):
                 yield LoadReading(name, requests, age_seconds(steps))
 
-    def watchers(self, part: WatchColumns | None) -> Iterator[WatchWord]:
+    def watchers(self, part: HeartbeatColumns | None) -> Iterator[WatcherHeartbeat]:
         """Which boxes watch the platform."""
         if part is None:
             return
         for key, steps in zip(unpack(part.boxes), part.ages, strict=False):
             if name := self._names.name(key):
-                yield WatchWord(name, age_seconds(steps))
+                yield WatcherHeartbeat(name, age_seconds(steps))
 
     def reports(self, part: ReportColumns | None) -> Iterator[FailureReport]:
         """What boxes met at engines."""
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -17,13 +17,13 @@
     EventLog,
 )
 from seamhold_messages.fleet import Phase
-from seamhold_messages.work import FailureReport, LoadReading, Suspect, WatchWord
+from seamhold_messages.work import FailureReport, LoadReading, Suspect, WatcherHeartbeat
 from seamhold_placement import HolderTable, LoadTable
 
 from .beliefs import HEARD_SOURCE, SILENCE_SOURCE, Belief, belief_from
 from .health import EngineHealth
 from .relaying import NEWS_SECONDS, Relaying
-from .watchers import WatchRota
+from .watchers import WatcherSelection
 
 #: Events that one digest carries at most.
 EVENTS_PER_DIGEST = 4
@@ -70,7 +70,7 @@
         #: Neighbours that were silent at the last look.
         self._silent: set[str] = set()
         self._relaying = Relaying()
-        self.rota = WatchRota(box)
+        self.selection = WatcherSelection(box)
         #: Whether this box watches the platform's store for all, and is served.
         self.watching = False
         #: When the platform last answered any box, as far as that was told.
@@ -98,23 +98,23 @@
     def _take_news(self, digest: Digest, now: float) -> None:
         """Believe what the peer passed on, and pass on what is new here."""
         for holding in self._known.holders.told(digest.held, now):
-            self._relaying.holding(holding)
+            self._relaying.put_holding(holding)
         for reading in digest.readings:
             self.note_load(reading, now)
         for report in digest.reports:
             self._hear_of_failures(report, now)
-        for word in digest.watchers:
-            self._hear_of_watcher(word, now)
+        for heartbeat in digest.watchers:
+            self._hear_of_watcher(heartbeat, now)
         if digest.store_age is not None:
             self.store_seen(now - digest.store_age)
 
-    def _hear_of_watcher(self, word: WatchWord, now: float) -> None:
-        at = now - word.age
-        if word.box == self._box or word.age > NEWS_SECONDS:
+    def _hear_of_watcher(self, heartbeat: WatcherHeartbeat, now: float) -> None:
+        at = now - heartbeat.age
+        if heartbeat.box == self._box or heartbeat.age > NEWS_SECONDS:
             return
-        if at > self.rota.heard_at(word.box) + NEWER_SECONDS:
-            self.rota.heard(word.box, at)
-            self._relaying.word(word, now)
+        if at > self.selection.heard_at(heartbeat.box) + NEWER_SECONDS:
+            self.selection.heard(heartbeat.box, at)
+            self._relaying.put_heartbeat(heartbeat, now)
 
     def store_seen(self, at: float) -> None:
         """The platform answered some box then."""
@@ -125,18 +125,18 @@
         """This box sent a call of `chat` to `engine`, which reads it."""
         holding = self._known.holders.placed(chat, engine, now)
         if holding is not None:
-            self._relaying.holding(holding)
+            self._relaying.put_holding(holding)
 
     def note_load(self, reading: LoadReading, now: float) -> None:
         """An engine told its load, to this box or to another."""
         if self._known.loads.read(reading, now):
-            self._relaying.reading(reading, now)
+            self._relaying.put_reading(reading, now)
 
     def _hear_of_failures(self, report: FailureReport, now: float) -> None:
         known = self._known
         if report.origin == self._box or not known.health.heard(report, now):
             return
-        self._relaying.report(report, now)
+        self._relaying.put_report(report, now)
         if not report.incarnation_key:
             return
         suspect = Suspect(report.engine, report.incarnation_key)
@@ -205,9 +205,9 @@
             store_age=None if self.store_seen_at is None else now - self.store_seen_at,
         )
         if self.watching:
-            self._relaying.word(WatchWord(self._box), now)
+            self._relaying.put_heartbeat(WatcherHeartbeat(self._box), now)
         for report in known.health.new_reports(self._box, now):
-            self._relaying.report(report, now)
+            self._relaying.put_report(report, now)
         return [self._digest_for(peer, truth, now) for peer in peers]
 
     def _digest_for(self, peer: str, truth: Digest, now: float) -> Digest:
--- a/packages/routing/seamhold_routing/relaying.py
+++ b/packages/routing/seamhold_routing/relaying.py
@@ -6,7 +6,7 @@
 from msgspec.structs import replace
 
 from seamhold_membership import Digest, RelayLog
-from seamhold_messages.work import FailureReport, Holding, LoadReading, WatchWord
+from seamhold_messages.work import FailureReport, Holding, LoadReading, WatcherHeartbeat
 
 #: Readings of engines' load that one digest carries at most, 7 bytes each: at 8 KB a
 #: second 28 digests with as many reach each of 112 engines 8 times a second.
@@ -22,7 +22,7 @@
 #: be taken for new each time that it comes round.
 NEWS_SECONDS = 3.0
 
-News = TypeVar('News', LoadReading, FailureReport, WatchWord)
+News = TypeVar('News', LoadReading, FailureReport, WatcherHeartbeat)
 
 
 class _Dated(Struct, Generic[News], frozen=True):
@@ -42,22 +42,22 @@
     def __init__(self):
         self._readings: RelayLog[str, _Dated[LoadReading]] = RelayLog()
         self._reports: RelayLog[tuple[str, str], _Dated[FailureReport]] = RelayLog()
-        self._words: RelayLog[str, _Dated[WatchWord]] = RelayLog()
+        self._heartbeats: RelayLog[str, _Dated[WatcherHeartbeat]] = RelayLog()
         self._holdings: RelayLog[Holding, Holding] = RelayLog()
 
-    def reading(self, reading: LoadReading, now: float) -> None:
+    def put_reading(self, reading: LoadReading, now: float) -> None:
         """Pass on what an engine told."""
         self._readings.put(reading.engine, _Dated(reading, now))
 
-    def report(self, report: FailureReport, now: float) -> None:
+    def put_report(self, report: FailureReport, now: float) -> None:
         """Pass on what a box met at an engine."""
         self._reports.put((report.origin, report.engine), _Dated(report, now))
 
-    def word(self, word: WatchWord, now: float) -> None:
+    def put_heartbeat(self, heartbeat: WatcherHeartbeat, now: float) -> None:
         """Pass on that a box watches the platform's store."""
-        self._words.put(word.box, _Dated(word, now))
+        self._heartbeats.put(heartbeat.box, _Dated(heartbeat, now))
 
-    def holding(self, holding: Holding) -> None:
+    def put_holding(self, holding: Holding) -> None:
         """Pass on who holds a chat."""
         self._holdings.put(holding, holding)
 
@@ -68,7 +68,7 @@
             held=tuple(self._holdings.take(HOLDINGS_PER_DIGEST)),
             readings=_fresh(self._readings.take(READINGS_PER_DIGEST), now),
             reports=_fresh(self._reports.take(REPORTS_PER_DIGEST), now),
-            watchers=_fresh(self._words.take(WATCHERS_PER_DIGEST), now),
+            watchers=_fresh(self._heartbeats.take(WATCHERS_PER_DIGEST), now),
         )
 
 
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -114,7 +114,7 @@
     def set_boxes(self, boxes: list[Box], now: float) -> None:
         """Take over the platform's list of boxes."""
         self.boxes.set_list(boxes, now)
-        self.exchange.rota.begin(now)
+        self.exchange.selection.begin(now)
         self._share_between_live(now)
 
     def hear(self, digest: Digest, now: float) -> list[Decision]:
@@ -364,7 +364,7 @@
         """Whether this box is one of the few that watch the platform's store."""
         control = self.tree.fleet.control
         silent_seconds = max(SILENT_SECONDS, SILENT_SPREADS * spread_seconds(self.boxes, control))
-        watches = self.exchange.rota.watches(
+        watches = self.exchange.selection.watches(
             self.boxes.live(now), self.boxes.store_lost(), silent_seconds, now
         )
         self.exchange.watching = watches and not self.store_lost
--- a/packages/routing/seamhold_routing/watchers.py
+++ b/packages/routing/seamhold_routing/watchers.py
@@ -12,7 +12,7 @@
 WATCHERS = 4
 WATCHERS_KEY = 'store-watchers'
 #: A watcher of whom nothing is heard for so long is taken to watch no more, in
-#: seconds; longer where word takes longer to go round, by so many times that.
+#: seconds; longer where a heartbeat takes longer to all boxes, by so many times that.
 SILENT_SECONDS = 1.0
 SILENT_SPREADS = 1.6
 #: After what silence what a neighbour told is void, in seconds, and in times that it
@@ -21,8 +21,8 @@
 BOX_SILENT_TELLINGS = 2.2
 #: What a usual digest takes of a box's bytes a second.
 DIGEST_BYTES = 110
-#: A watch lasts 3 s at most, and word of its end takes a second to go round: if no
-#: box had an answer for so long, in seconds, the store is away.
+#: Watchers read the list of boxes every 3 s, and news of that takes a second to all: if
+#: no box had an answer for so long, in seconds, the store is away.
 UNSEEN_SECONDS = 4.0
 
 
@@ -46,12 +46,12 @@
     return max(BOX_SILENT_SECONDS, BOX_SILENT_TELLINGS * telling_seconds(boxes, control))
 
 
-class WatchRota:
+class WatcherSelection:
     """Whose turn it is to watch the store for all.
 
-    The boxes that rank first for it watch and say so all the time; word of that is
-    passed on.  One of whom no word comes, or that the store turns away, is passed
-    over, and the next in rank has its turn.
+    The boxes that rank first for it watch, and send heartbeats that all pass on.  One
+    whose heartbeats stay out, or that the store turns away, is passed over, and the
+    next in rank has its turn.
     """
 
     def __init__(self, me: str):
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -12,13 +12,13 @@
 from seamhold_membership import Digest, RelayLog
 from seamhold_membership.relay import WAITING_MAX
 from seamhold_messages.fleet import Box, Engine, Phase
-from seamhold_messages.work import Call, FailureReport, LoadReading, Placed, WatchWord, Work
+from seamhold_messages.work import Call, FailureReport, LoadReading, Placed, WatcherHeartbeat, Work
 from seamhold_peers import DigestReader, EncodedDigest, NameTable
 from seamhold_placement import LoadTable
 from seamhold_placement.load import NEWER_SECONDS, READING_SECONDS
 from seamhold_routing import Router, Versions
 from seamhold_routing.relaying import NEWS_SECONDS
-from seamhold_routing.watchers import WATCHERS, WatchRota
+from seamhold_routing.watchers import WATCHERS, WatcherSelection
 
 
 class TestRelayLog(testtools.TestCase):
@@ -228,11 +228,11 @@
         told = set()
         for step in range(8):
             now = 1.0 + step
-            word = WatchWord('box-1', age=float(step))
-            router.hear(replace(digest, box='box-2', watchers=(word,)), now)
+            heartbeat = WatcherHeartbeat('box-1', age=float(step))
+            router.hear(replace(digest, box='box-2', watchers=(heartbeat,)), now)
             router.follows_store(now)
             (message,) = router.digests_for(['peer'], Versions(), now)
-            if any(word.box == 'box-1' for word in message.watchers):
+            if any(heartbeat.box == 'box-1' for heartbeat in message.watchers):
                 told.add(step)
         self.assertEqual(set(range(int(NEWS_SECONDS) + 1)), told)
 
@@ -242,65 +242,67 @@
             'x',
             readings=(LoadReading('e1', 300, 0.1),),
             reports=(FailureReport('box-1', 'e2', 4, 2**31, 77, 0.2),),
-            watchers=(WatchWord('box-2', 0.3),),
+            watchers=(WatcherHeartbeat('box-2', 0.3),),
             store_age=2.0,
         )
         heard = self.readers[0].read(EncodedDigest(digest).data)
-        (reading,), (report,), (word,) = heard.readings, heard.reports, heard.watchers
+        (reading,), (report,), (heartbeat,) = heard.readings, heard.reports, heard.watchers
         self.assertEqual(('e1', 300), (reading.engine, reading.requests))
         self.assertEqual(('box-1', 'e2', 4), (report.origin, report.engine, report.count))
         self.assertEqual((2**31, 77), (report.stamp, report.incarnation_key))
-        self.assertEqual('box-2', word.box)
-        for sent, told in ((0.1, reading), (0.2, report), (0.3, word)):
+        self.assertEqual('box-2', heartbeat.box)
+        for sent, told in ((0.1, reading), (0.2, report), (0.3, heartbeat)):
             self.assertTrue(sent < told.age <= sent + 0.02001, told)
 
 
-class TestRota(testtools.TestCase):
+class TestWatcherSelection(testtools.TestCase):
     LIVE = tuple(f'box-{number}' for number in range(195))
     SILENT = 1.0
 
-    def watchers(self, rotas: dict[str, WatchRota], now: float, lost=()) -> set[str]:
+    def watchers(self, selections: dict[str, WatcherSelection], now: float, lost=()) -> set[str]:
         return {
-            name for name, rota in rotas.items() if rota.watches(self.LIVE, lost, self.SILENT, now)
+            name
+            for name, selection in selections.items()
+            if selection.watches(self.LIVE, lost, self.SILENT, now)
         }
 
-    def rotas(self) -> dict[str, WatchRota]:
-        rotas = {name: WatchRota(name) for name in self.LIVE}
-        for rota in rotas.values():
-            rota.begin(0.0)
-        return rotas
+    def selections(self) -> dict[str, WatcherSelection]:
+        selections = {name: WatcherSelection(name) for name in self.LIVE}
+        for selection in selections.values():
+            selection.begin(0.0)
+        return selections
 
     def test_so_many_boxes_of_the_whole_fleet_watch(self):
-        self.assertEqual(WATCHERS, len(self.watchers(self.rotas(), 0.5)))
+        self.assertEqual(WATCHERS, len(self.watchers(self.selections(), 0.5)))
 
     def test_those_of_whom_no_word_comes_are_replaced(self):
-        rotas = self.rotas()
-        first = self.watchers(rotas, 0.5)
+        selections = self.selections()
+        first = self.watchers(selections, 0.5)
         dead = sorted(first)[:2]
-        for rota in rotas.values():
+        for selection in selections.values():
             for name in first - {*dead}:
-                rota.heard(name, 1.4)
-        second = self.watchers(rotas, 1.5)
+                selection.heard(name, 1.4)
+        second = self.watchers(selections, 1.5)
         self.assertEqual(WATCHERS, len(second - {*dead}))
         self.assertTrue(first - {*dead} <= second)
 
     def test_those_that_stay_silent_too_are_replaced_in_their_turn(self):
-        rotas = self.rotas()
+        selections = self.selections()
         seen = set()
         for step in range(4):
-            seen |= self.watchers(rotas, 0.5 + step * 1.1)
+            seen |= self.watchers(selections, 0.5 + step * 1.1)
         self.assertEqual(4 * WATCHERS, len(seen))
 
     def test_one_that_the_store_turns_away_is_passed_over_at_once(self):
-        rotas = self.rotas()
-        lost = self.watchers(rotas, 0.5)
-        self.assertEqual(WATCHERS, len(self.watchers(rotas, 0.6, lost=lost) - lost))
+        selections = self.selections()
+        lost = self.watchers(selections, 0.5)
+        self.assertEqual(WATCHERS, len(self.watchers(selections, 0.6, lost=lost) - lost))
 
     def test_one_that_is_back_watches_again(self):
-        rotas = self.rotas()
-        first = self.watchers(rotas, 0.5)
-        self.watchers(rotas, 1.6)
-        for rota in rotas.values():
+        selections = self.selections()
+        first = self.watchers(selections, 0.5)
+        self.watchers(selections, 1.6)
+        for selection in selections.values():
             for name in first:
-                rota.heard(name, 2.0)
-        self.assertEqual(first, self.watchers(rotas, 2.1))
+                selection.heard(name, 2.0)
+        self.assertEqual(first, self.watchers(selections, 2.1))
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -12,7 +12,6 @@
 from seamhold.ports import PromptPart
 from seamhold.telling import TellingOrder
 from seamhold_attempts.retry import Outcome
-from seamhold_membership import Digest
 from seamhold_membership.relay import RELAY_TIMES
 from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Placed, Work
@@ -32,17 +31,7 @@
 from seamhold_settings import Candidate
 from seamhold_settings.tree import TREE_OBJECT
 
-
-def one_digest(router: Router, now: float) -> Digest:
-    """The router's next message to a peer."""
-    (digest,) = router.digests_for(['peer'], Versions(), now)
-    return digest
-
-
-def tell(one: Router, other: Router, now: float) -> None:
-    """One router's next message reaches another."""
-    (digest,) = one.digests_for([other.box], Versions(), now)
-    other.hear(digest, now)
+from .utils.telling import one_digest, tell
 
 
 class TestTelling(testtools.TestCase):
