Evacuations are followed, and engines that are cold get no more than they bear

Change: evacuations are a third list of the platform, versioned, watched by the few watchers and pulled by the rest from peers, as engines are; engines there serve nothing new, also where all others are suspect, and may still be fetched from. Taken back, they are cold. The rate that a cold engine bears is dealt out in whole calls to the boxes that rank first for its start.

Ruled out: an event a domain (a box that starts during it would not hear); the engines' own readings as a reservation (a second is over before news of it went round 65 boxes); a token bucket a box (65 full buckets are 65 calls in the first second; 24.5 are allowed).

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -4,10 +4,10 @@
 
 from minicheck import check_safety
 
-from . import claims, drain, leaving, settings, tickets
+from . import claims, drain, evacuation, leaving, settings, tickets
 from .base import Spec
 
-SPECS = (tickets.SPEC, claims.SPEC, settings.SPEC, leaving.SPEC, drain.SPEC)
+SPECS = (tickets.SPEC, claims.SPEC, settings.SPEC, leaving.SPEC, drain.SPEC, evacuation.SPEC)
 STATES_MAX = 400_000
 
 
--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -66,6 +66,7 @@
     reports: tuple[FailureReport, ...] = ()
     store_age: float | None = None
     watchers: tuple[WatcherHeartbeat, ...] = ()
+    evacuations_version: int = 0
 
     @property
     def full(self) -> bool:
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -31,19 +31,24 @@
     #: It fails more than its siblings; answers do not clear this.
     outlier_until: float = -math.inf
     ejections: int = 0
+    #: Until then it bears few calls a second.
+    cold_until: float = -math.inf
 
 
 class Serving(Struct, frozen=True):
     """The engines of a service that may get work, until a time.
 
-    `weights` draw chats: less for an engine that just came.  `leaving` get no
-    new work, but still hold what they have read.
+    `weights` draw chats: less for an engine that just came.  `cold` engines bear few
+    calls a second; they are among `engines`.  `leaving` get no new work, for
+    themselves or because their failure domain is evacuated, but still hold what
+    they have read.
     """
 
     engines: dict[str, Engine]
     weights: dict[str, float]
     until: float
     leaving: dict[str, Engine] = field(default_factory=dict)
+    cold: frozenset[str] = frozenset()
 
 
 class EngineView:
@@ -54,6 +59,7 @@
     own calls failed there, doubled for each time in a row.  Until
     `outage_until` an engine that drops off the list keeps serving: entries
     lapse while the platform is away, and engines that live write them anew.
+    `cold_seconds` is, by service, how long an engine bears less after a start.
     """
 
     #: Evidence that makes an engine suspect: each failed call adds a part.
@@ -73,6 +79,8 @@
         self.rising_seconds = rising_seconds
         self.suspect_seconds = suspect_seconds
         self.outage_until = -math.inf
+        self.cold_seconds: dict[str, float] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._states: dict[str, _EngineState] = {}
         #: Engines that dropped off the list in an outage of the platform.
         self._unlisted: set[str] = set()
@@ -110,10 +118,27 @@
         if engine.phase is Phase.LEAVING:
             self._leaving[engine.name] = engine.incarnation
         if held and held.engine.incarnation == engine.incarnation:
+            if engine.cold_seconds != held.engine.cold_seconds:
+                held.cold_until = now + engine.cold_seconds
             held.engine = engine
             return
         # All engines of the first list rise together, which is no rise.
-        self._states[engine.name] = _EngineState(engine, now, rising=self._listed_once)
+        state = _EngineState(engine, now, rising=self._listed_once)
+        state.cold_until = now + engine.cold_seconds
+        self._states[engine.name] = state
+
+    def set_evacuated(self, domains: frozenset[str], now: float) -> None:
+        """Take over which failure domains are evacuated.
+
+        The engines of one that is so no more come back cold, all at once: each is
+        taken to be cold from now on, as after a start, until the list says more.
+        """
+        for state in self._states.values():
+            if state.engine.failure_domain in self._evacuated - domains:
+                cold_seconds = self.cold_seconds.get(state.engine.service, 0.0)
+                state.cold_until = max(state.cold_until, now + cold_seconds)
+        self._evacuated = domains
+        self._serving.clear()
 
     def leaving(self, name: str, incarnation: str) -> None:
         """An engine said, or a peer told, that it takes no new work."""
@@ -194,6 +219,8 @@
             return Phase.GONE
         if self._leaving.get(name) == state.engine.incarnation:
             return Phase.LEAVING
+        if state.engine.failure_domain in self._evacuated:
+            return Phase.EVACUATED
         reports = sum(now < until for until in state.reporters.values())
         if now < max(state.suspect_until, state.outlier_until):
             return Phase.SUSPECT
@@ -240,7 +267,8 @@
         """Engines of `service` that may get new work.
 
         If all are suspect, the suspects serve: a wrong suspicion must not
-        stop a service.  The same object is given until something changes.
+        stop a service.  An evacuation is no suspicion: where it leaves none,
+        none serves.  The same object is given until something changes.
         """
         kept = self._serving.get(service)
         if kept is None or now >= kept.until:
@@ -260,16 +288,18 @@
                 found[name] = state.engine
             elif phase is Phase.SUSPECT:
                 suspects[name] = state.engine
-            elif phase is Phase.LEAVING:
+            elif phase in (Phase.LEAVING, Phase.EVACUATED):
                 leaving[name] = state.engine
             until = min(until, self._next_change(state, now))
         engines = found or suspects
         weights = {name: self._weight(self._states[name], now) for name in engines}
-        return Serving(engines, weights, until, leaving)
+        cold = frozenset(name for name in engines if now < self._states[name].cold_until)
+        return Serving(engines, weights, until, leaving, cold)
 
     def _next_change(self, state: _EngineState, now: float) -> float:
         """When time alone may change how an engine is treated."""
-        times = [state.suspect_until, state.outlier_until, *state.reporters.values()]
+        times = [state.suspect_until, state.outlier_until, state.cold_until]
+        times += state.reporters.values()
         if state.rising:
             step = self.rising_seconds / len(RISING_STEPS)
             times += [state.since + step * number for number in range(1, len(RISING_STEPS) + 1)]
--- a/packages/messages/seamhold_messages/fleet.py
+++ b/packages/messages/seamhold_messages/fleet.py
@@ -11,6 +11,7 @@
     LIVE = 'live'
     SUSPECT = 'suspect'
     LEAVING = 'leaving'
+    EVACUATED = 'evacuated'
     GONE = 'gone'
 
 
@@ -19,6 +20,7 @@
 
     `incarnation` changes each time the engine starts, `slots` is how many
     calls it takes at once, `weight` its share relative to its siblings.
+    `cold_seconds` is how much longer it is slow from its start, by its own word.
     """
 
     name: str
@@ -29,6 +31,13 @@
     slots: int = 64
     weight: float = 1.0
     phase: Phase = Phase.LIVE
+    cold_seconds: float = 0.0
+
+
+class Evacuation(Struct, frozen=True):
+    """The operators ask that engines in a failure domain, `name`, get no new work."""
+
+    name: str
 
 
 class Box(Struct, frozen=True):
--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from seamhold_messages.errors import SeamholdError
-from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import Holding
 
 
@@ -21,6 +21,8 @@
     boxes_version: int = 0
     held: tuple[Holding, ...] = ()
     held_complete: bool = False
+    evacuations: tuple[Evacuation, ...] = ()
+    evacuations_version: int = 0
 
 
 class Header(Struct, frozen=True):
--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -91,6 +91,12 @@
     watchers: HeartbeatColumns | None = None
 
 
+class LongDigestPart(DigestPart, frozen=True, array_like=True):
+    """A digest where evacuations are followed; others are spared the byte."""
+
+    evacuations_version: int = 0
+
+
 def start_key(incarnation: str) -> int:
     """A few bits that tell one start of a box from another."""
     return hash32(incarnation) % 2**START_BITS
@@ -98,35 +104,41 @@
 
 def encode_digest(digest: Digest) -> bytes:
     """A digest as it travels."""
+    fields = _fields(digest)
+    if not digest.evacuations_version:
+        return _ENCODER.encode(DigestPart(*fields))
+    return _ENCODER.encode(LongDigestPart(*fields, digest.evacuations_version))
+
+
+def _fields(digest: Digest) -> tuple:
+    """The fields of a DigestPart, in order."""
     full = digest.full
-    return _ENCODER.encode(
-        DigestPart(
-            digest.box if full else NameTable.key(digest.box),
-            digest.incarnation if full else start_key(digest.incarnation),
-            digest.seq,
-            digest.base,
-            digest.ack,
-            digest.leaving,
-            digest.store_lost,
-            digest.settings_total,
-            digest.settings_print,
-            digest.engines_version,
-            digest.boxes_version,
-            _load_columns(digest.loads),
-            _usage_columns(digest.usage),
-            _event_parts(digest.events),
-            holding_columns(digest.held),
-            digest.learned,
-            reading_columns(digest.readings),
-            report_columns(digest.reports),
-            None if digest.store_age is None else age_steps(digest.store_age),
-            heartbeat_columns(digest.watchers),
-        )
+    return (
+        digest.box if full else NameTable.key(digest.box),
+        digest.incarnation if full else start_key(digest.incarnation),
+        digest.seq,
+        digest.base,
+        digest.ack,
+        digest.leaving,
+        digest.store_lost,
+        digest.settings_total,
+        digest.settings_print,
+        digest.engines_version,
+        digest.boxes_version,
+        _load_columns(digest.loads),
+        _usage_columns(digest.usage),
+        _event_parts(digest.events),
+        holding_columns(digest.held),
+        digest.learned,
+        reading_columns(digest.readings),
+        report_columns(digest.reports),
+        None if digest.store_age is None else age_steps(digest.store_age),
+        heartbeat_columns(digest.watchers),
     )
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(DigestPart)
+_DECODER = msgspec.msgpack.Decoder(LongDigestPart)
 
 
 def _load_columns(loads: dict[str, Work]) -> LoadColumns | None:
@@ -175,7 +187,7 @@
         except (msgspec.MsgspecError, struct.error):
             return None
 
-    def _sender(self, part: DigestPart) -> tuple[str, str]:
+    def _sender(self, part: LongDigestPart) -> tuple[str, str]:
         """The box and its incarnation, '' if they are not known."""
         if isinstance(part.box, str):
             sender = (part.box, str(part.start))
@@ -186,7 +198,7 @@
             return ('', '')
         return (box, incarnation)
 
-    def _decode(self, part: DigestPart, box: str, incarnation: str) -> Digest:
+    def _decode(self, part: LongDigestPart, box: str, incarnation: str) -> Digest:
         return Digest(
             box,
             incarnation,
@@ -208,6 +220,7 @@
             tuple(self._news.reports(part.reports)),
             None if part.store_age is None else age_seconds(part.store_age),
             tuple(self._news.watchers(part.watchers)),
+            part.evacuations_version,
         )
 
     def _loads(self, part: LoadColumns | None) -> dict[str, Work]:
--- a/packages/peers/seamhold_peers/server.py
+++ b/packages/peers/seamhold_peers/server.py
@@ -43,7 +43,7 @@
         self._handler = handler
         #: What was encoded last: after a change many peers pull the same.
         self._objects: dict[str, tuple[Candidate, codec.SettingsObjectPart]] = {}
-        self._lists: tuple[tuple[int, int], codec.PackedLists] | None = None
+        self._lists: tuple[FleetLists, codec.PackedLists] | None = None
 
     def _encoded(self, candidate: Candidate) -> codec.SettingsObjectPart:
         kept = self._objects.get(candidate.name)
@@ -52,11 +52,10 @@
         return kept[1]
 
     def _encoded_lists(self, lists: FleetLists) -> codec.PackedLists:
-        versions = (lists.engines_version, lists.boxes_version)
-        if lists.held or not all(versions):
+        if lists.held:
             return codec.encode_lists(lists)
-        if self._lists is None or self._lists[0] != versions:
-            self._lists = (versions, codec.encode_lists(lists))
+        if self._lists is None or self._lists[0] != lists:
+            self._lists = (lists, codec.encode_lists(lists))
         return self._lists[1]
 
     def __mapping__(self) -> dict[str, Handler]:
--- a/packages/placement/seamhold_placement/__init__.py
+++ b/packages/placement/seamhold_placement/__init__.py
@@ -1,6 +1,7 @@
 """Rank engines for a chat and keep them within a load bound."""
 
 from .bound import BoundPolicy, Candidate, Choice, Chooser, Totals, choose, choose_least_loaded
+from .cold import ColdShares
 from .holders import HolderTable
 from .load import LoadTable
 from .rank import Ranking
@@ -10,6 +11,7 @@
     'Candidate',
     'Choice',
     'Chooser',
+    'ColdShares',
     'HolderTable',
     'LoadTable',
     'Ranking',
--- a/packages/platform/seamhold_platform/objects.py
+++ b/packages/platform/seamhold_platform/objects.py
@@ -12,6 +12,7 @@
     ENGINES = 'engines'
     SETTINGS = 'settings'
     CLAIMS = 'claims'
+    EVACUATIONS = 'evacuations'
 
 
 class PlatformObject(Struct, frozen=True):
--- a/packages/router/seamhold/config.py
+++ b/packages/router/seamhold/config.py
@@ -29,7 +29,8 @@
     product's own; `fleet` stands for what that platform's settings leave out.
 
     Addresses are `ip:port`.  `threads` is how many calls the box answers at
-    once.  `drain_grace` and `drain_limit` are in seconds.
+    once.  `drain_grace` and `drain_limit` are in seconds.  `evacuations` tells that
+    the platform's operators may evacuate failure domains: the box follows that list too.
     """
 
     box: Name
@@ -47,6 +48,7 @@
     drain_grace: Annotated[float, Meta(ge=0, le=600)] = 5.0
     drain_limit: Annotated[float, Meta(gt=0, le=86_400)] = 600.0
     dialect: Annotated[str, Meta(pattern=r'^[a-z0-9-]*\Z')] = ''
+    evacuations: bool = False
     fleet: FleetDefaults = FleetDefaults()
 
     def fleet_defaults(self) -> dict:
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
+from msgspec.structs import replace
+
 from seamhold_attempts.retry import Outcome
 from seamhold_membership import Digest
 from seamhold_messages.errors import CallerLeft
-from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import Decision, Queued, Refused
 from seamhold_peers import FleetLists
 from seamhold_routing import Router, Versions
@@ -34,8 +36,10 @@
     KnowledgeReport,
     LearnHoldings,
     Leaving,
+    ListVersions,
     SetBoxes,
     SetEngines,
+    SetEvacuations,
     StoreAnswered,
     UseSettings,
     WantDigests,
@@ -57,7 +61,9 @@
 
     name = 'decider'
 
-    def __init__(self, router: Router, clock: Callable[[], float]):
+    def __init__(
+        self, router: Router, clock: Callable[[], float], follows_evacuations: bool = False
+    ):
         super().__init__()
         self._router = router
         self._clock = clock
@@ -66,8 +72,8 @@
         #: The platform's lists in use, None before the first.
         self.listed_engines: list[Engine] | None = None
         self.listed_boxes: list[Box] | None = None
-        self._engines_version = 0
-        self._boxes_version = 0
+        self.listed_evacuations: list[Evacuation] | None = None
+        self.list_versions = ListVersions()
         self._events_taken = 0
         #: Whether this box is one that watches the platform's store.
         self.follows_store = True
@@ -81,6 +87,9 @@
         self.on_boxes: Callable[[list[Box]], None] | None = None
         self.engines_listed = threading.Event()
         self.boxes_listed = threading.Event()
+        self.evacuations_listed = threading.Event()
+        if not follows_evacuations:
+            self.evacuations_listed.set()
         self.handlers = {
             Admit: self._admit,
             Again: self._again,
@@ -94,6 +103,7 @@
             UseSettings: self._use_settings,
             SetEngines: self._set_engines,
             SetBoxes: self._set_boxes,
+            SetEvacuations: self._set_evacuations,
             WantLists: self._lists,
             HearHoldings: self._hear_holdings,
             LearnHoldings: self._learn_holdings,
@@ -159,11 +169,6 @@
             self._want_store()
             self.log.info('watch_role.changed', watches=follows)
 
-    @property
-    def list_versions(self) -> tuple[int, int]:
-        """The platform's revisions of the lists of engines and of boxes."""
-        return self._engines_version, self._boxes_version
-
     def _note_events(self) -> None:
         for belief in self._router.take_beliefs():
             self.log.info(
@@ -215,26 +220,37 @@
         self._tell_news()
 
     def _set_engines(self, message: SetEngines) -> None:
-        if self.engines_listed.is_set() and 0 < message.version <= self._engines_version:
+        if self.engines_listed.is_set() and 0 < message.version <= self.list_versions.engines:
             return
         decisions = self._router.set_engines(message.engines, self._clock())
         self.listed_engines = message.engines
-        self._engines_version = message.version
+        self.list_versions = replace(self.list_versions, engines=message.version)
         self.engines_listed.set()
         self._tell_news()
         self._deliver(decisions)
 
     def _set_boxes(self, message: SetBoxes) -> None:
-        if self.boxes_listed.is_set() and 0 < message.version <= self._boxes_version:
+        if self.boxes_listed.is_set() and 0 < message.version <= self.list_versions.boxes:
             return
         self._router.set_boxes(message.boxes, self._clock())
         self.listed_boxes = message.boxes
-        self._boxes_version = message.version
+        self.list_versions = replace(self.list_versions, boxes=message.version)
         self.boxes_listed.set()
         self._tell_news()
         if self.on_boxes is not None:
             self.on_boxes(message.boxes)
 
+    def _set_evacuations(self, message: SetEvacuations) -> None:
+        known = self.list_versions.evacuations
+        if self.listed_evacuations is not None and 0 < message.version <= known:
+            return
+        decisions = self._router.set_evacuations(message.evacuations, self._clock())
+        self.listed_evacuations = message.evacuations
+        self.list_versions = replace(self.list_versions, evacuations=message.version)
+        self.evacuations_listed.set()
+        self._tell_news()
+        self._deliver(decisions)
+
     def _hear_holdings(self, message: HearHoldings) -> None:
         self._router.holders.heard(message.held, self._clock())
 
@@ -247,7 +263,16 @@
         engines = self.listed_engines or []
         boxes = self.listed_boxes or []
         held = self._router.holders.all(self._clock()) if message.holdings else ()
-        return FleetLists(engines, boxes, self._engines_version, self._boxes_version, held)
+        versions = self.list_versions
+        return FleetLists(
+            engines,
+            boxes,
+            versions.engines,
+            versions.boxes,
+            held,
+            evacuations=tuple(self.listed_evacuations or ()),
+            evacuations_version=versions.evacuations,
+        )
 
     def _hear(self, message: Hear) -> None:
         self._deliver(self._router.hear(message.digest, self._clock()))
@@ -256,9 +281,10 @@
         versions = Versions(
             message.settings_total,
             message.settings_print,
-            self._engines_version,
-            self._boxes_version,
+            self.list_versions.engines,
+            self.list_versions.boxes,
             self.store_lost,
+            self.list_versions.evacuations,
         )
         return self._router.digests_for(message.peers, versions, self._clock())
 
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -4,7 +4,7 @@
 
 from seamhold_attempts.retry import Outcome
 from seamhold_membership import Digest
-from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_messages.fleet import Box, Engine, Evacuation, Phase
 from seamhold_messages.work import Call, Holding
 from seamhold_settings import Tree
 
@@ -93,6 +93,24 @@
     version: int = 0
 
 
+class SetEvacuations(Struct):
+    """The platform's list of evacuated failure domains, as it stood at `version`.
+
+    One that is not newer than the list in use is passed over; 0 is always taken.
+    """
+
+    evacuations: list[Evacuation]
+    version: int = 0
+
+
+class ListVersions(Struct, frozen=True):
+    """The platform's revisions of the lists in use, 0 for one that is not known."""
+
+    engines: int = 0
+    boxes: int = 0
+    evacuations: int = 0
+
+
 class WantLists(Ask):
     """Asks for the platform's lists as last seen, as FleetLists."""
 
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -18,7 +18,7 @@
 from ..config import BoxConfig
 from ..context import Environment
 from ..decider import Decider
-from ..decisions import SetBoxes, SetEngines, UseSettings, WantReport
+from ..decisions import SetBoxes, SetEngines, SetEvacuations, UseSettings, WantReport
 from ..dialects import find_dialect
 from ..gate import Gate
 from ..keeper import SettingsKeeper
@@ -65,7 +65,7 @@
         clock = environment.monotonic
         self.store = dialect.store(config.platform_url)
         router = Router(config.box, self.incarnation, failure_domain=config.failure_domain)
-        self.decider = Decider(router, clock)
+        self.decider = Decider(router, clock, config.evacuations)
         self.keeper = SettingsKeeper(self.metrics, self._settings_changed)
         self.budgets = RetryBudgets(clock)
         self.backends = BackendConnections(dialect.backends, clock)
@@ -128,7 +128,19 @@
             lambda boxes, version: self.decider.send(SetBoxes(boxes, version)),
             lambda: self.decider.listed_boxes,
         )
-        return [tree, engines, boxes]
+        followers = [tree, engines, boxes]
+        if self.config.evacuations:
+            followers.append(self._evacuations_follower(source))
+        return followers
+
+    def _evacuations_follower(self, source: ListSource) -> VersionedListFollower:
+        return VersionedListFollower(
+            ObjectKind.EVACUATIONS,
+            source,
+            self.dialect.evacuation,
+            lambda listed, version: self.decider.send(SetEvacuations(listed, version)),
+            lambda: self.decider.listed_evacuations,
+        )
 
     def _settings_changed(self, tree: Tree) -> None:
         bounds = tree.fleet.caller_bounds
--- a/packages/router/seamhold/peer_pulls.py
+++ b/packages/router/seamhold/peer_pulls.py
@@ -9,7 +9,7 @@
 
 from .background import answer_of
 from .decider import Decider
-from .decisions import SetBoxes, SetEngines
+from .decisions import SetBoxes, SetEngines, SetEvacuations
 from .keeper import Offer, SettingsKeeper, WantKnown
 from .metrics import Metrics
 
@@ -95,6 +95,8 @@
             decider.send(SetBoxes(lists.boxes, lists.boxes_version))
         if lists.engines_version or not decider.engines_listed.is_set():
             decider.send(SetEngines(lists.engines, lists.engines_version))
+        if lists.evacuations_version:
+            decider.send(SetEvacuations([*lists.evacuations], lists.evacuations_version))
 
     def has_other_settings(self, digest: Digest) -> bool:
         """Whether a peer has settings in force that this box may lack."""
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -29,6 +29,7 @@
     DigestsSent,
     Hear,
     Leaving,
+    ListVersions,
     WantDigests,
     WantReport,
 )
@@ -193,19 +194,25 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this box has settings and both of the platform's lists."""
+        """Whether this box has settings and all of the platform's lists."""
         decider = self._decider
         return (
             self._keeper.ready.is_set()
             and decider.engines_listed.is_set()
             and decider.boxes_listed.is_set()
+            and decider.evacuations_listed.is_set()
         )
 
     def wait_ready(self, seconds: float) -> bool:
         """Wait until this box has them, or so long."""
         ends = self._environment.monotonic() + seconds
         decider = self._decider
-        for known in (self._keeper.ready, decider.engines_listed, decider.boxes_listed):
+        for known in (
+            self._keeper.ready,
+            decider.engines_listed,
+            decider.boxes_listed,
+            decider.evacuations_listed,
+        ):
             if not known.wait(max(0.0, ends - self._environment.monotonic())):
                 return False
         return True
@@ -320,8 +327,7 @@
             return
         if self._pulls.has_other_settings(digest):
             self._beside.begin(self._pulls.settings_of(digest.box, client))
-        engines, boxes = self._decider.list_versions
-        if digest.engines_version > engines or digest.boxes_version > boxes:
+        if _has_newer_lists(digest, self._decider.list_versions):
             self._beside.begin(self._pulls.lists_of(digest.box, client))
         if self.holdings.wants(digest):
             self._beside.begin(self.holdings.pull(client, digest))
@@ -330,3 +336,12 @@
         """Tell every peer now that this box is stopping."""
         self._decider.send(Leaving())
         self.submit(self._tell_all()).result(STOP_SECONDS)
+
+
+def _has_newer_lists(digest: Digest, mine: ListVersions) -> bool:
+    """Whether the sender of a digest has one of the platform's lists newer than here."""
+    return (
+        digest.engines_version > mine.engines
+        or digest.boxes_version > mine.boxes
+        or digest.evacuations_version > mine.evacuations
+    )
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -13,7 +13,7 @@
 
 from seamhold_attempts.retry import Outcome
 from seamhold_messages.errors import SeamholdError
-from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import Placed
 from seamhold_platform import ObjectKind, Page, PlatformObject, WatchEvent
 
@@ -301,6 +301,9 @@
     def engine(self, item: PlatformObject) -> Engine:
         """A backend server as the platform lists it."""
 
+    def evacuation(self, item: PlatformObject) -> Evacuation:
+        """An evacuation of a failure domain as the operators ordered it."""
+
     def box(self, item: PlatformObject) -> Box:
         """A box as it wrote itself into the store."""
 
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -40,6 +40,7 @@
     engines: int = 0
     boxes: int = 0
     store_lost: bool = False
+    evacuations: int = 0
 
 
 class Knowledge(Struct):
@@ -200,6 +201,7 @@
             events=known.events.pending(EVENTS_PER_DIGEST),
             engines_version=versions.engines,
             boxes_version=versions.boxes,
+            evacuations_version=versions.evacuations,
             store_lost=versions.store_lost,
             learned=len(known.holders.learned),
             store_age=None if self.store_seen_at is None else now - self.store_seen_at,
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -13,9 +13,9 @@
 from seamhold_limits import WorkspaceCaps, WorkspaceLimits
 from seamhold_membership import BoxView, Digest, EngineView, Event, EventKind
 from seamhold_messages.errors import NoEngine, SeamholdError
-from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_messages.fleet import Box, Engine, Evacuation, Phase
 from seamhold_messages.work import Call, Decision, LoadReading, Placed, Queued, Refused
-from seamhold_placement import Chooser, HolderTable, LoadTable, choose
+from seamhold_placement import Chooser, ColdShares, HolderTable, LoadTable, choose
 from seamhold_settings import Tree
 
 from .beliefs import LIST_SOURCE, OUTLIER_SOURCE, Belief, changes
@@ -71,6 +71,7 @@
         self.loads = loads or LoadTable()
         self.holders = HolderTable()
         self._chooser = chooser
+        self._cold_shares = ColdShares(box)
         self.limits = WorkspaceLimits(box)
         known = Knowledge(
             self.boxes, self.engines, self.health, self.loads, self.holders, self.limits
@@ -90,6 +91,9 @@
         placement = tree.fleet.placement
         self.engines.rising_seconds = placement.rising_seconds
         self.engines.suspect_seconds = placement.suspect_seconds
+        self.engines.cold_seconds = {
+            name: service.cold_seconds for name, service in tree.fleet.services.items()
+        }
         self.loads.peer_growth = placement.peer_growth
         self.limits.set_caps(
             {
@@ -111,9 +115,18 @@
         self.beliefs += changes(before, self.engines.phases(now))
         return self._drain_queues(now)
 
+    def set_evacuations(self, evacuations: list[Evacuation], now: float) -> list[Decision]:
+        """Take over which failure domains the operators evacuate."""
+        before = self.engines.phases(now)
+        domains = frozenset(evacuation.name for evacuation in evacuations)
+        self.engines.set_evacuated(domains, now)
+        self.beliefs += changes(before, self.engines.phases(now))
+        return self._drain_queues(now)
+
     def set_boxes(self, boxes: list[Box], now: float) -> None:
         """Take over the platform's list of boxes."""
         self.boxes.set_list(boxes, now)
+        self._cold_shares.set_boxes(box.name for box in boxes)
         self.exchange.selection.begin(now)
         self._share_between_live(now)
 
@@ -194,6 +207,7 @@
                 self.holders,
                 self._chooser,
                 self.failure_domain,
+                self._cold_shares,
             )
             service.use_plan(plan_for(self.tree, name))
             self._services[name] = service
@@ -201,6 +215,7 @@
 
     def _start(self, placed: Placed, call: Call, now: float) -> Placed:
         self._active[call.id].engine = placed.engine
+        self._service(call.service).note_sent(placed.engine, now)
         self.health.sent(call.id, placed.engine, call.objective, now)
         if call.sticky:
             self.exchange.placed(call.chat, placed.engine, now)
@@ -295,6 +310,7 @@
         """Expire what waited too long and forget boxes that went silent."""
         self.boxes.silent_seconds = box_silent_seconds(self.boxes, self.tree.fleet.control)
         self.loads.expire(now)
+        self._cold_shares.forget(now)
         self.exchange.forget_silent(now)
         self._share_between_live(now)
         self._note_outage(now)
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -13,6 +13,7 @@
     BoundPolicy,
     Candidate,
     Chooser,
+    ColdShares,
     HolderTable,
     LoadTable,
     Ranking,
@@ -34,12 +35,14 @@
     """What the settings say of placing one service's calls.
 
     `patience` is how long a call waits for the engine that holds its cache
-    before it goes to another, in seconds.
+    before it goes to another, in seconds.  `cold_per_second` is how many calls a
+    second an engine bears while it is cold, 0 if that is no fewer than later.
     """
 
     bound: BoundPolicy = field(default_factory=BoundPolicy)
     queue_calls: int = 64
     patience: float = 0.0
+    cold_per_second: float = 0.0
 
 
 def plan_for(tree: Tree, service: str) -> ServicePlan:
@@ -56,7 +59,8 @@
         queue_calls = tree.fleet.policy.queue_calls
     if queue_calls is None:
         queue_calls = DEFAULTS.queue_calls
-    return ServicePlan(bound, queue_calls, placement.patience)
+    cold_per_second = offered.cold_requests_per_second if offered else 0.0
+    return ServicePlan(bound, queue_calls, placement.patience, cold_per_second)
 
 
 class RankedEngines(Sequence[Candidate]):
@@ -151,6 +155,7 @@
         holders: HolderTable,
         chooser: Chooser = choose,
         failure_domain: str = '',
+        cold_shares: ColdShares | None = None,
     ):
         self.name = name
         self.plan = ServicePlan()
@@ -162,6 +167,7 @@
         self._holders = holders
         self._chooser = chooser
         self._failure_domain = failure_domain
+        self._cold_shares = cold_shares or ColdShares('')
         self._ranking = Ranking()
         self._serving: Serving | None = None
         self._weight = 0.0
@@ -189,6 +195,23 @@
             self._full = {name: until for name, until in self._full.items() if now < until}
         return set(self._full)
 
+    def _spared(self, serving: Serving, now: float) -> frozenset[str]:
+        """Cold engines that may get nothing more from this box now."""
+        per_second = self.plan.cold_per_second
+        if not serving.cold or not per_second:
+            return frozenset()
+        return frozenset(
+            name
+            for name in serving.cold
+            if not self._cold_shares.allows(serving.engines[name].incarnation, per_second, now)
+        )
+
+    def note_sent(self, engine: str, now: float) -> None:
+        """A call goes to `engine`."""
+        serving = self._look(now)
+        if engine in serving.cold:
+            self._cold_shares.sent(serving.engines[engine].incarnation, now)
+
     def _look(self, now: float) -> Serving:
         """The engines that serve now; what hangs on them is kept up."""
         serving = self._engines.serving(self.name, now)
@@ -213,7 +236,7 @@
         holders = self._holders.of(call.chat, now) if call.sticky else []
         candidates = RankedEngines(
             call.chat,
-            call.excluded,
+            call.excluded | self._spared(serving, now),
             self._ranking,
             serving,
             self._loads,
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -118,12 +118,16 @@
 
     A backend server of it takes `connections` from all boxes together.  With
     `keeps_prompts` it keeps what it has read of a prompt, and tells what that is.
+    For `cold_seconds` after a start it bears `cold_requests_per_second` from all boxes
+    together, 0 if it bears no fewer than later.
     """
 
     kind: ServiceKind
     models: list[str] = []
     connections: Annotated[int, Meta(ge=1)] | None = None
     keeps_prompts: bool = False
+    cold_seconds: Annotated[float, Meta(ge=0, le=3600)] = 0.0
+    cold_requests_per_second: Annotated[float, Meta(ge=0, le=1_000_000)] = 0.0
     policy: Policy = Policy()
 
     def __post_init__(self):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -318,6 +318,17 @@
 )
 
 
+class TestEvacuationsInDigests(testtools.TestCase):
+    def test_the_version_of_their_list_travels_and_costs_nothing_where_there_is_none(self):
+        reader = DigestReader(NameTable())
+        for version in (0, 7):
+            digest = Digest('b', 'x', evacuations_version=version)
+            read = reader.read(EncodedDigest(digest).data)
+            self.assertEqual(version, read.evacuations_version)
+        long = EncodedDigest(Digest('b', 'x', evacuations_version=7)).size
+        self.assertEqual(1, long - EncodedDigest(Digest('b', 'x')).size)
+
+
 class TestDigests(testtools.TestCase):
     @given(
         st.lists(st.tuples(LOADS, USAGE, st.sampled_from(('heard', 'lost', 'late', 'answered'))))
