--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -41,8 +41,7 @@
     `weights` draw chats: less for an engine that just came.  `cold` engines bear few
     calls a second; they are among `engines`.  `leaving` get no new work, for
     themselves or because their failure domain is evacuated, but still hold what
-    they have read.  `draining` tells that some leave for themselves: where engines are
-    replaced one after the other, more will.
+    they have read.
     """
 
     engines: dict[str, Engine]
@@ -50,7 +49,6 @@
     until: float
     leaving: dict[str, Engine] = field(default_factory=dict)
     cold: frozenset[str] = frozenset()
-    draining: bool = False
 
 
 class EngineView:
@@ -281,7 +279,6 @@
         found: dict[str, Engine] = {}
         suspects: dict[str, Engine] = {}
         leaving: dict[str, Engine] = {}
-        draining = False
         until = math.inf
         for name, state in self._states.items():
             if state.engine.service != service:
@@ -293,12 +290,11 @@
                 suspects[name] = state.engine
             elif phase in (Phase.LEAVING, Phase.EVACUATED):
                 leaving[name] = state.engine
-                draining |= phase is Phase.LEAVING
             until = min(until, self._next_change(state, now))
         engines = found or suspects
         weights = {name: self._weight(self._states[name], now) for name in engines}
         cold = frozenset(name for name in engines if now < self._states[name].cold_until)
-        return Serving(engines, weights, until, leaving, cold, draining)
+        return Serving(engines, weights, until, leaving, cold)
 
     def _next_change(self, state: _EngineState, now: float) -> float:
         """When time alone may change how an engine is treated."""
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -3,7 +3,6 @@
 from collections.abc import Collection, Sequence
 
 from msgspec import Struct, field
-from msgspec.structs import replace
 
 from seamhold_limits import WaitQueue
 from seamhold_membership import EngineView, Serving
@@ -13,7 +12,6 @@
 from seamhold_placement import (
     BoundPolicy,
     Candidate,
-    Choice,
     Chooser,
     ColdShares,
     HolderTable,
@@ -146,13 +144,6 @@
     return f'{hash32(engine):08x}'
 
 
-class _Found(Struct, frozen=True):
-    """An engine for a call; `spilled` if another holds the chat's cache."""
-
-    choice: Choice
-    spilled: bool
-
-
 class ServiceRouter:
     """Ranks, bounds and queues the calls of one service on one box."""
 
@@ -243,33 +234,6 @@
         """
         serving = self._look(now)
         holders = self._holders.of(call.chat, now) if call.sticky else []
-        found = self._copy(call, serving, holders, now)
-        found = found or self._choose(call, serving, holders, now)
-        if found is None:
-            return None
-        return self._placed(call, serving, holders, found, now)
-
-    def _copy(self, call: Call, serving: Serving, holders: list[str], now: float) -> _Found | None:
-        """A second engine for a chat that one alone holds while engines drain.
-
-        It fetches what the first holds, before that one may be the next to leave: what
-        only an engine that is gone has read must be read anew.
-        """
-        if not serving.draining:
-            return None
-        held_by = {name for name in holders if name in serving.engines}
-        if len(held_by) != 1 or held_by & call.excluded:
-            return None
-        elsewhere = replace(call, excluded=call.excluded | held_by, hint='')
-        found = self._choose(elsewhere, serving, [], now)
-        if found is None or not found.choice.in_bound:
-            return None
-        return _Found(found.choice, spilled=False)
-
-    def _choose(
-        self, call: Call, serving: Serving, holders: list[str], now: float
-    ) -> _Found | None:
-        """The best engine for the call by what holds its chat, rank and load."""
         candidates = RankedEngines(
             call.chat,
             call.excluded | self._spared(serving, now),
@@ -280,33 +244,28 @@
             self._near,
             self._full_engines(now),
         )
-        if not call.sticky:
-            choice = choose_least_loaded(candidates, call.work, self._near)
-            return None if choice is None else _Found(choice, spilled=False)
         totals = Totals(self._weight, self._loads.total(self.name))
         hint = candidates.place_of(call.hint)
-        choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
+        if call.sticky:
+            choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
+        else:
+            choice = choose_least_loaded(candidates, call.work, self._near)
         if choice is None:
             return None
-        return _Found(choice, choice.rank != (hint or 0) and choice.name not in holders)
-
-    def _placed(
-        self, call: Call, serving: Serving, holders: list[str], found: _Found, now: float
-    ) -> Placed:
-        choice = found.choice
         engine = serving.engines[choice.name]
+        spilled = call.sticky and choice.rank != (hint or 0) and choice.name not in holders
         source = None
         if call.sticky:
             first = self._ranking.first(call.chat)[0]
             source = self._other_holder(holders, first, choice.name, serving)
         load = self._loads.estimate(choice.name).requests
-        mean = self._loads.total(self.name).requests / len(serving.engines)
+        mean = totals.load.requests / len(serving.engines)
         return Placed(
             call.id,
             choice.name,
             engine.address,
             choice.rank,
-            found.spilled,
+            spilled,
             engine.incarnation,
             source.address if source else '',
             source.name if source else '',
