A signal cannot stop the thread that waits for it, and the last lines of the logs are written

Cause: the handlers set an event and wrote a line; a handler breaks in between any two steps of the waiting thread, also where that holds the event's lock or the log queue's: then it waits for itself, and the box is killed at the end of its grace. box.stopped was never written: the process ended before the logs' own task wrote it.

--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -2,9 +2,11 @@
 
 import gc
 import os
+import queue
 import random
 import signal
 import threading
+from enum import StrEnum
 
 from msgspec import to_builtins
 
@@ -47,10 +49,21 @@
 SPARE_THREADS = 4
 POLL_SECONDS = 0.05
 STATUS_SECONDS = 1.0
+#: How often the thread that waits for signals looks whether another took one, in seconds.
+SIGNAL_LOOK_SECONDS = 1.0
+#: How long the last lines of the logs may take to be written, in seconds.
+LOGS_SECONDS = 0.2
 #: The last part of the grace in which idle connections are closed.
 IDLE_CLOSE_SECONDS = 0.8
 
 
+class Order(StrEnum):
+    """What the platform asks of the process, by signals."""
+
+    STOP = 'stop'
+    RELOAD = 'reload'
+
+
 class ForwardingBox:
     """One box: its tasks, its ports, and its end."""
 
@@ -61,7 +74,9 @@
         self.incarnation = environment.fresh_id()
         self.metrics = Metrics(config.statsd)
         self._log = logger('box')
-        self._stopping = threading.Event()
+        # Signal handlers may put into this queue wherever they break in; an event's
+        # lock, or a line for the logs, might be in the hands of the thread they break.
+        self._orders: queue.SimpleQueue[Order] = queue.SimpleQueue()
         chance = random.Random(self.incarnation)
         clock = environment.monotonic
         self.store = dialect.store(config.platform_url)
@@ -202,22 +217,30 @@
         self._log.info('box.started', box=self.config.box, incarnation=self.incarnation)
 
     def ask_stop(self) -> None:
-        """Begin a planned stop."""
-        self._log.info('box.stop_asked', calls=self.gate.active)
+        """Begin a planned stop; called by signal handlers too."""
         self.gate.draining = True
-        self._stopping.set()
+        self._orders.put(Order.STOP)
 
     def note_settings_signal(self) -> None:
         """The box file changed; what it says of ports holds until a restart."""
-        self._log.info('box.reload_asked')
+        self._orders.put(Order.RELOAD)
+
+    def _next_order(self) -> Order:
+        while True:
+            try:
+                return self._orders.get(timeout=SIGNAL_LOOK_SECONDS)
+            except queue.Empty:
+                # A signal that another thread took runs its handler now.
+                continue
 
     def wait(self) -> int:
         """Serve until a stop is asked for, then leave in good order.
 
         The number of calls that are cut when the time for it is over.
         """
-        while not self._stopping.wait(1.0):
-            pass
+        while self._next_order() is not Order.STOP:
+            self._log.info('box.reload_asked')
+        self._log.info('box.stop_asked', calls=self.gate.active)
         self.peering.tell_leaving()
         # The balancer needs a moment to see that this box is not ready; then
         # callers that keep connections are sent away while nothing is refused.
@@ -236,13 +259,14 @@
 
 def serve(config: BoxConfig, environment: Environment) -> None:
     """Run a box in this process until it is told to stop."""
-    setup_logs(BoundedStream(environment.stdout), config.log_level)
+    logs = BoundedStream(environment.stdout)
+    setup_logs(logs, config.log_level)
     box = ForwardingBox(config, environment, find_dialect(config.dialect))
     signal.signal(signal.SIGTERM, lambda *_: box.ask_stop())
     signal.signal(signal.SIGINT, lambda *_: box.ask_stop())
     signal.signal(signal.SIGHUP, lambda *_: box.note_settings_signal())
     box.start()
     box.wait()
-    environment.stdout.flush()
+    logs.drain(LOGS_SECONDS)
     # Threads wait on connections that nobody needs any more.
     os._exit(ExitStatus.SUCCESS)
