--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -37,7 +37,10 @@
 )
 from .events import EventCheck
 
-CONNECT_SECONDS = 0.4
+#: How long a connection may take, in seconds.  Nothing was sent until then, so the call
+#: goes elsewhere; a sound server accepts within some round trips, of 16 ms between
+#: regions.  The rest of a call's objective, 0.16 s and more, must be enough elsewhere.
+CONNECT_SECONDS = 0.15
 #: Unacknowledged data is given up after this, in milliseconds.
 USER_TIMEOUT_MS = 2000
 #: A connection on which nothing comes is probed after so many seconds, and so often.
