Where no holder is known the second in rank is fetched from too

The call goes to the first in rank, which is then a newcomer or not the engine that a spill went to, and nothing is fetched.

--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -27,6 +27,10 @@
 #: An engine that refused a call because it is full is taken to be full for so
 #: long: by then peers have told what they sent there.
 FULL_SECONDS = 0.3
+#: Ranks that may hold a chat of which no holder is known.  The second had the chat
+#: before an engine joined that now ranks first, and takes what that cannot.  A guess
+#: that is wrong costs the engine a look; one that is right spares reading.
+LIKELY_HOLDERS = 2
 #: Ranks among which a caller's hint may find an engine.
 HINT_RANKS = 5
 
@@ -256,8 +260,8 @@
         spilled = call.sticky and choice.rank != (hint or 0) and choice.name not in holders
         source = None
         if call.sticky:
-            first = self._ranking.first(call.chat)[0]
-            source = self._other_holder(holders, first, choice.name, serving)
+            likely = self._ranking.first(call.chat)[:LIKELY_HOLDERS]
+            source = self._other_holder(holders, likely, choice.name, serving)
         load = self._loads.estimate(choice.name).requests
         mean = totals.load.requests / len(serving.engines)
         return Placed(
@@ -277,15 +281,15 @@
 
     @staticmethod
     def _other_holder(
-        holders: list[str], first: str, chosen: str, serving: Serving
+        holders: list[str], likely: list[str], chosen: str, serving: Serving
     ) -> Engine | None:
         """An engine that `chosen` may fetch from, None if it holds all.
 
-        Where no holder is known, the engine that ranks first is the likeliest.
+        Where no holder is known, those that rank first are the likeliest.
         """
         if chosen in holders:
             return None
-        for name in [*holders, first]:
+        for name in [*holders, *likely]:
             engine = serving.engines.get(name) or serving.leaving.get(name)
             if engine is not None and name != chosen:
                 return engine
--- a/tests/utils/telling_fleet.py
+++ b/tests/utils/telling_fleet.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 
 from msgspec import Struct
 
@@ -43,7 +43,7 @@
         self.router.set_boxes(boxes, 0.0)
         self.budget = ByteBudget(control.control_bytes_per_second, 0.0)
         self.order = TellingOrder(random.Random(name))
-        names = NameTable()
+        names = self.names = NameTable()
         names.add(engine.name for engine in engines)
         names.add(box.name for box in boxes)
         self.reader = DigestReader(names)
@@ -96,6 +96,10 @@
         #: Calls that met an engine above what is promised.
         self.above = 0
         self.bytes_sent = 0
+        #: Engines by chat that have read it, and the calls that read one anew though an
+        #: engine that serves held it.
+        self.read: dict[str, set[str]] = defaultdict(set)
+        self.read_again = 0
         self._engines_tell = engines_tell
         self._chats = chats
         self._numbers = itertools.count()
@@ -122,6 +126,19 @@
                     box.tells_at += DIGEST_SECONDS
                     self._tell(box)
 
+    def replace_engine(self, number: int) -> None:
+        """An engine goes and another comes; all boxes know it at once."""
+        gone = self.engines[number]
+        name = f'{gone.name}-next'
+        self.engines[number] = Engine(
+            name, SERVICE, f'{gone.address}1', incarnation='1', slots=SLOTS
+        )
+        for held in self.read.values():
+            held.discard(gone.name)
+        for box in self.boxes.values():
+            box.names.add([name])
+            box.router.set_engines(list(self.engines), self.now)
+
     def restart(self) -> None:
         """All boxes start anew at once; what they ran goes on at the engines."""
         for name, box in self.boxes.items():
@@ -150,6 +167,9 @@
             return
         self._at[placed.engine] += 1
         self.placed += 1
+        held = self.read[call.chat]
+        self.read_again += bool(held) and not held & {placed.engine, placed.fetch_engine}
+        held.add(placed.engine)
         allowed = PROMISED_MULTIPLE * self.mean_load() + PROMISED_MORE
         self.above += self._at[placed.engine] > allowed
         answers_at, ends_at = self.now + ANSWER_SECONDS, self.now + CALL_SECONDS
