--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from msgspec.structs import replace
-
 from seamhold_attempts.retry import Outcome
 from seamhold_membership import Digest
 from seamhold_messages.errors import CallerLeft
@@ -36,7 +34,6 @@
     KnowledgeReport,
     LearnHoldings,
     Leaving,
-    ListVersions,
     SetBoxes,
     SetEngines,
     SetEvacuations,
@@ -47,6 +44,7 @@
     WantLists,
     WantReport,
 )
+from .listed import ListInUse
 from .tasks import SerialTask
 
 #: How often what others say or do not say is looked at, in seconds: the shortest
@@ -69,11 +67,12 @@
         self._clock = clock
         self._replies: dict[str, Future] = {}
         self._next_tick = 0.0
-        #: The platform's lists in use, None before the first.
-        self.listed_engines: list[Engine] | None = None
-        self.listed_boxes: list[Box] | None = None
-        self.listed_evacuations: list[Evacuation] | None = None
-        self.list_versions = ListVersions()
+        #: The platform's lists in use.
+        self.engines: ListInUse[Engine] = ListInUse()
+        self.boxes: ListInUse[Box] = ListInUse()
+        self.evacuations: ListInUse[Evacuation] = ListInUse()
+        if not follows_evacuations:
+            self.evacuations.known.set()
         self._events_taken = 0
         #: Whether this box is one that watches the platform's store.
         self.follows_store = True
@@ -85,11 +84,6 @@
         self.on_news: Callable[[], None] | None = None
         #: Told of each new list of boxes, wherever it comes from.
         self.on_boxes: Callable[[list[Box]], None] | None = None
-        self.engines_listed = threading.Event()
-        self.boxes_listed = threading.Event()
-        self.evacuations_listed = threading.Event()
-        if not follows_evacuations:
-            self.evacuations_listed.set()
         self.handlers = {
             Admit: self._admit,
             Again: self._again,
@@ -220,34 +214,27 @@
         self._tell_news()
 
     def _set_engines(self, message: SetEngines) -> None:
-        if self.engines_listed.is_set() and 0 < message.version <= self.list_versions.engines:
+        if not self.engines.is_news(message.version):
             return
         decisions = self._router.set_engines(message.engines, self._clock())
-        self.listed_engines = message.engines
-        self.list_versions = replace(self.list_versions, engines=message.version)
-        self.engines_listed.set()
+        self.engines.put(message.engines, message.version)
         self._tell_news()
         self._deliver(decisions)
 
     def _set_boxes(self, message: SetBoxes) -> None:
-        if self.boxes_listed.is_set() and 0 < message.version <= self.list_versions.boxes:
+        if not self.boxes.is_news(message.version):
             return
         self._router.set_boxes(message.boxes, self._clock())
-        self.listed_boxes = message.boxes
-        self.list_versions = replace(self.list_versions, boxes=message.version)
-        self.boxes_listed.set()
+        self.boxes.put(message.boxes, message.version)
         self._tell_news()
         if self.on_boxes is not None:
             self.on_boxes(message.boxes)
 
     def _set_evacuations(self, message: SetEvacuations) -> None:
-        known = self.list_versions.evacuations
-        if self.listed_evacuations is not None and 0 < message.version <= known:
+        if not self.evacuations.is_news(message.version):
             return
         decisions = self._router.set_evacuations(message.evacuations, self._clock())
-        self.listed_evacuations = message.evacuations
-        self.list_versions = replace(self.list_versions, evacuations=message.version)
-        self.evacuations_listed.set()
+        self.evacuations.put(message.evacuations, message.version)
         self._tell_news()
         self._deliver(decisions)
 
@@ -260,18 +247,15 @@
         self._tell_news()
 
     def _lists(self, message: WantLists) -> FleetLists:
-        engines = self.listed_engines or []
-        boxes = self.listed_boxes or []
         held = self._router.holders.all(self._clock()) if message.holdings else ()
-        versions = self.list_versions
         return FleetLists(
-            engines,
-            boxes,
-            versions.engines,
-            versions.boxes,
+            self.engines.items or [],
+            self.boxes.items or [],
+            self.engines.version,
+            self.boxes.version,
             held,
-            evacuations=tuple(self.listed_evacuations or ()),
-            evacuations_version=versions.evacuations,
+            evacuations=tuple(self.evacuations.items or ()),
+            evacuations_version=self.evacuations.version,
         )
 
     def _hear(self, message: Hear) -> None:
@@ -281,10 +265,10 @@
         versions = Versions(
             message.settings_total,
             message.settings_print,
-            self.list_versions.engines,
-            self.list_versions.boxes,
+            self.engines.version,
+            self.boxes.version,
             self.store_lost,
-            self.list_versions.evacuations,
+            self.evacuations.version,
         )
         return self._router.digests_for(message.peers, versions, self._clock())
 
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -103,14 +103,6 @@
     version: int = 0
 
 
-class ListVersions(Struct, frozen=True):
-    """The platform's revisions of the lists in use, 0 for one that is not known."""
-
-    engines: int = 0
-    boxes: int = 0
-    evacuations: int = 0
-
-
 class WantLists(Ask):
     """Asks for the platform's lists as last seen, as FleetLists."""
 
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -134,7 +134,7 @@
             source,
             self.dialect.engine,
             self._engines_changed,
-            lambda: self.decider.listed_engines,
+            lambda: self.decider.engines.items,
             is_news_of_engine,
         )
         # Peers notice each other's silence before the list does.
@@ -143,7 +143,7 @@
             source,
             self.dialect.box,
             lambda boxes, version: self.decider.send(SetBoxes(boxes, version)),
-            lambda: self.decider.listed_boxes,
+            lambda: self.decider.boxes.items,
         )
         followers = [tree, engines, boxes]
         if self.config.evacuations:
@@ -156,7 +156,7 @@
             source,
             self.dialect.evacuation,
             lambda listed, version: self.decider.send(SetEvacuations(listed, version)),
-            lambda: self.decider.listed_evacuations,
+            lambda: self.decider.evacuations.items,
         )
 
     def _settings_changed(self, tree: Tree) -> None:
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -70,9 +70,9 @@
     def wait_role(self) -> None:
         """Wait while this box starts and cannot know yet whose turn it is."""
         decider = self._decider
-        decider.boxes_listed.wait(ALONE_SECONDS)
+        decider.boxes.known.wait(ALONE_SECONDS)
         left = self._role_known_at - time.monotonic()
-        if left > 0 and len(decider.listed_boxes or ()) > 1:
+        if left > 0 and len(decider.boxes.items or ()) > 1:
             time.sleep(left)
 
     def lost(self) -> None:
--- a/packages/router/seamhold/forwarding/held.py
+++ b/packages/router/seamhold/forwarding/held.py
@@ -99,7 +99,7 @@
     def _ask_new(self, asked: set[str]) -> None:
         """Ask the engines that are listed now and were not `asked` before."""
         boxes = self._live_boxes()
-        engines = self._decider.listed_engines or []
+        engines = self._decider.engines.items or []
         if boxes == self._seen_boxes and engines is self._seen_engines:
             return
         self._seen_boxes, self._seen_engines = boxes, engines
--- a/packages/router/seamhold/peer_pulls.py
+++ b/packages/router/seamhold/peer_pulls.py
@@ -91,9 +91,9 @@
     def take_lists(self, lists: FleetLists) -> None:
         """Take a peer's lists where this box has none, or older ones."""
         decider = self._decider
-        if lists.boxes_version or not decider.boxes_listed.is_set():
+        if lists.boxes_version or not decider.boxes.known.is_set():
             decider.send(SetBoxes(lists.boxes, lists.boxes_version))
-        if lists.engines_version or not decider.engines_listed.is_set():
+        if lists.engines_version or not decider.engines.known.is_set():
             decider.send(SetEngines(lists.engines, lists.engines_version))
         if lists.evacuations_version:
             decider.send(SetEvacuations([*lists.evacuations], lists.evacuations_version))
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -29,7 +29,6 @@
     DigestsSent,
     Hear,
     Leaving,
-    ListVersions,
     WantDigests,
     WantReport,
 )
@@ -198,9 +197,9 @@
         decider = self._decider
         return (
             self._keeper.ready.is_set()
-            and decider.engines_listed.is_set()
-            and decider.boxes_listed.is_set()
-            and decider.evacuations_listed.is_set()
+            and decider.engines.known.is_set()
+            and decider.boxes.known.is_set()
+            and decider.evacuations.known.is_set()
         )
 
     def wait_ready(self, seconds: float) -> bool:
@@ -209,9 +208,9 @@
         decider = self._decider
         for known in (
             self._keeper.ready,
-            decider.engines_listed,
-            decider.boxes_listed,
-            decider.evacuations_listed,
+            decider.engines.known,
+            decider.boxes.known,
+            decider.evacuations.known,
         ):
             if not known.wait(max(0.0, ends - self._environment.monotonic())):
                 return False
@@ -327,7 +326,7 @@
             return
         if self._pulls.has_other_settings(digest):
             self._beside.begin(self._pulls.settings_of(digest.box, client))
-        if _has_newer_lists(digest, self._decider.list_versions):
+        if _has_newer_lists(digest, self._decider):
             self._beside.begin(self._pulls.lists_of(digest.box, client))
         if self.holdings.wants(digest):
             self._beside.begin(self.holdings.pull(client, digest))
@@ -338,10 +337,10 @@
         self.submit(self._tell_all()).result(STOP_SECONDS)
 
 
-def _has_newer_lists(digest: Digest, mine: ListVersions) -> bool:
+def _has_newer_lists(digest: Digest, mine: Decider) -> bool:
     """Whether the sender of a digest has one of the platform's lists newer than here."""
     return (
-        digest.engines_version > mine.engines
-        or digest.boxes_version > mine.boxes
-        or digest.evacuations_version > mine.evacuations
+        digest.engines_version > mine.engines.version
+        or digest.boxes_version > mine.boxes.version
+        or digest.evacuations_version > mine.evacuations.version
     )
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -15,6 +15,7 @@
     PolledListFollower,
     StoreWatch,
 )
+from seamhold.listed import ListInUse
 from seamhold.metrics import Metrics
 from seamhold_messages.fleet import Box, Engine, Evacuation, is_news_of_engine
 from seamhold_platform import ObjectKind, PlatformObject
@@ -106,10 +107,9 @@
     """What a box that starts knows of the list of boxes."""
 
     def __init__(self, names: list[str] | None):
-        self.boxes_listed = threading.Event()
-        self.listed_boxes = None if names is None else [Box(name, '') for name in names]
+        self.boxes: ListInUse[Box] = ListInUse()
         if names is not None:
-            self.boxes_listed.set()
+            self.boxes.put([Box(name, '') for name in names], 1)
 
 
 class TestRole(testtools.TestCase):
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -369,13 +369,13 @@
         router = Router('box-0', 'x')
         decider = Decider(router, lambda: 0.0)
         seen = []
-        router.set_engines = lambda engines, now: seen.append(decider.engines_listed.is_set()) or []
+        router.set_engines = lambda engines, now: seen.append(decider.engines.known.is_set()) or []
         decider.start()
         self.addCleanup(decider.stop)
         decider.send(SetEngines([], 1))
         decider.ask(WantReport()).result(5)
         self.assertEqual([False], seen)
-        self.assertTrue(decider.engines_listed.is_set())
+        self.assertTrue(decider.engines.known.is_set())
 
     def test_a_list_that_is_known_is_not_news(self):
         decider = Decider(Router('box-0', 'x'), lambda: 0.0)
