--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import astuple
 
 from seamhold_membership import Digest, Event, EventKind
 from seamhold_messages.hashing import hash32
@@ -104,16 +105,8 @@
 
 def encode_digest(digest: Digest) -> bytes:
     """A digest as it travels."""
-    fields = _fields(digest)
-    if not digest.evacuations_version:
-        return _ENCODER.encode(DigestPart(*fields))
-    return _ENCODER.encode(LongDigestPart(*fields, digest.evacuations_version))
-
-
-def _fields(digest: Digest) -> tuple:
-    """The fields of a DigestPart, in order."""
     full = digest.full
-    return (
+    part = DigestPart(
         digest.box if full else NameTable.key(digest.box),
         digest.incarnation if full else start_key(digest.incarnation),
         digest.seq,
@@ -135,6 +128,9 @@
         None if digest.store_age is None else age_steps(digest.store_age),
         heartbeat_columns(digest.watchers),
     )
+    if digest.evacuations_version:
+        part = LongDigestPart(*astuple(part), digest.evacuations_version)
+    return _ENCODER.encode(part)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/placement/seamhold_placement/cold.py
+++ b/packages/placement/seamhold_placement/cold.py
@@ -6,6 +6,10 @@
 could send before any news of it went round.  So its rate is dealt out beforehand, in
 whole calls, to the boxes that rank first for its incarnation.  All boxes work that out
 alike from the platform's list, whether they live or not, and nothing has to be told.
+
+200 routers with ten times the demand send an engine that bears 13 a second 13 at most in
+any second; 65 whose lists differ by up to six boxes stay within 24 (tests on a hand-set
+clock).
 """
 
 from collections import deque
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -40,6 +40,8 @@
 #: How long a connection may take, in seconds.  Nothing was sent until then, so the call
 #: goes elsewhere; a sound server accepts within some round trips, of 16 ms between
 #: regions.  The rest of a call's objective, 0.16 s and more, must be enough elsewhere.
+#: On a day of 65 boxes on which nothing passed between two failure domains for six
+#: seconds 234 calls were late in these with 0.4 s, and 69 so (one run each).
 CONNECT_SECONDS = 0.15
 #: Unacknowledged data is given up after this, in milliseconds.
 USER_TIMEOUT_MS = 2000
--- a/packages/router/seamhold/forwarding/first_state.py
+++ b/packages/router/seamhold/forwarding/first_state.py
@@ -5,8 +5,8 @@
 #: How long after its start a box lets requests wait for its state, in seconds.
 #: A store that answers has told it 0.015 s after the box listens (the logs of 7
 #: boxes that started together, 30 requests refused in that time without this).  65
-#: boxes that lost power together, with a tree of 275 KB and links of 10 Mbit/s, had
-#: theirs 0.25 s after in the middle and 0.68 s at most: 200 requests were refused
+#: boxes that lost power together, with some 1,100 routes and links of 10 Mbit/s, had
+#: theirs 0.25 s after in the middle and 0.68 s at most (their logs): 200 requests were refused
 #: between 0.2 and 0.7 s, and came back half a second later at the earliest.  One that
 #: has not answered by then may be away for long.
 FIRST_STATE_SECONDS = 0.7
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -32,7 +32,8 @@
 STARTING_SECONDS = 2.0
 #: A box that starts beside others learns whether it is its turn to watch by their
 #: heartbeats; until then, in seconds, it does not begin.  What changes meanwhile is in
-#: the store's history.  That spares 65 boxes that start together two watches each.
+#: the store's history.  With it, and since cold engines' clocks are no news, a day of 65
+#: boxes and 99 starts made 1,074 calls to the store, 1,417 before (one run each).
 ROLE_SECONDS = 1.0
 #: How long a box that starts waits to see whether there are others, in seconds.
 ALONE_SECONDS = 0.3
