An attempt's line tells what its engine told and why it refused; beliefs' errors are a histogram

Cause: the record of the incident shows a believed load of 22 and a refusal, and neither what ran there nor why the engine refused; three hypotheses need just these. Ruled out: a line for each answer (the attempt's line is written anyway). Change: told and refusal in the attempt's line, engine_refused.WHY counted, seamhold_belief_error_calls by service on the metrics address.

--- a/packages/router/seamhold/metrics.py
+++ b/packages/router/seamhold/metrics.py
@@ -18,19 +18,31 @@
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
-class Latencies(Struct):
-    """How often a stage took how long; `counts` has one place more than BUCKETS.
+#: Upper bounds of the buckets of beliefs' errors, in calls.
+ERROR_BUCKETS = (-32.0, -16.0, -8.0, -4.0, -2.0, 0.0, 2.0, 4.0, 8.0, 16.0, 32.0)
 
-    `total` is the sum in seconds.
+
+class Histogram(Struct):
+    """How often a figure lay in which bucket; `counts` has one place more than `bounds`.
+
+    `total` is the sum of the figures.
     """
 
-    counts: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS) + 1))
+    bounds: tuple[float, ...]
+    counts: list[int] = field(default_factory=list)
     total: float = 0.0
 
-    def add(self, seconds: float) -> None:
+    def __post_init__(self):
+        self.counts = self.counts or [0] * (len(self.bounds) + 1)
+
+    def add(self, figure: float) -> None:
         """Note one."""
-        self.counts[bisect_left(BUCKETS, seconds)] += 1
-        self.total += seconds
+        self.counts[bisect_left(self.bounds, figure)] += 1
+        self.total += figure
+
+    def copy(self) -> 'Histogram':
+        """As it stands."""
+        return Histogram(self.bounds, self.counts.copy(), self.total)
 
 
 class Stage(Struct, frozen=True):
@@ -46,7 +58,8 @@
     def __init__(self, statsd: str | None = None):
         self._counts: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
-        self._latencies: dict[Stage, Latencies] = {}
+        self._latencies: dict[Stage, Histogram] = {}
+        self._belief_errors: dict[str, Histogram] = {}
         self._lock = threading.Lock()
         self._client = None
         if statsd:
@@ -73,9 +86,14 @@
     def latency(self, stage: str, service: str, seconds: float) -> None:
         """Note how long after its head a call came to `stage`."""
         with self._lock:
-            self._latencies.setdefault(Stage(stage, service), Latencies()).add(seconds)
+            self._latencies.setdefault(Stage(stage, service), Histogram(BUCKETS)).add(seconds)
         self.timing(f'{stage}.{service}', seconds)
 
+    def belief_error(self, service: str, calls: int) -> None:
+        """Note how many more calls an engine told of than were believed to be there."""
+        with self._lock:
+            self._belief_errors.setdefault(service, Histogram(ERROR_BUCKETS)).add(calls)
+
     def counts(self) -> dict[str, int]:
         """All counters as they stand."""
         with self._lock:
@@ -86,13 +104,15 @@
         with self._lock:
             return dict(sorted(self._gauges.items()))
 
-    def latencies(self) -> dict[Stage, Latencies]:
+    def latencies(self) -> dict[Stage, Histogram]:
         """All latencies as they stand."""
         with self._lock:
-            return {
-                stage: Latencies(held.counts.copy(), held.total)
-                for stage, held in self._latencies.items()
-            }
+            return {stage: held.copy() for stage, held in self._latencies.items()}
+
+    def belief_errors(self) -> dict[str, Histogram]:
+        """By service, how far beliefs of engines' loads were off."""
+        with self._lock:
+            return {service: held.copy() for service, held in self._belief_errors.items()}
 
     def page(self) -> bytes:
         """Everything in the text format of Prometheus."""
--- a/packages/router/seamhold/metrics_page.py
+++ b/packages/router/seamhold/metrics_page.py
@@ -8,9 +8,7 @@
 from prometheus_client.registry import Collector
 from prometheus_client.utils import floatToGoString
 
-from .metrics import BUCKETS, PREFIX, Metrics
-
-BOUNDS = tuple(floatToGoString(bound) for bound in (*BUCKETS, float('inf')))
+from .metrics import PREFIX, Histogram, Metrics
 
 
 def page(metrics: Metrics) -> bytes:
@@ -31,6 +29,7 @@
         for name, value in self._metrics.gauges().items():
             yield GaugeMetricFamily(f'{PREFIX}_{name}', 'As it stands now', value=value)
         yield self._latencies()
+        yield self._belief_errors()
 
     def _events(self) -> CounterMetricFamily:
         events = CounterMetricFamily(
@@ -48,7 +47,21 @@
             labels=('stage', 'service'),
         )
         for stage, held in self._metrics.latencies().items():
-            upto = accumulate(held.counts)
-            buckets = list(zip(BOUNDS, upto, strict=True))
-            calls.add_metric((stage.name, stage.service), buckets, held.total)
+            calls.add_metric((stage.name, stage.service), _buckets(held), held.total)
         return calls
+
+    def _belief_errors(self) -> HistogramMetricFamily:
+        errors = HistogramMetricFamily(
+            f'{PREFIX}_belief_error_calls',
+            'Calls that an engine told of with an answer, less those it was believed to have',
+            labels=('service',),
+        )
+        for service, held in self._metrics.belief_errors().items():
+            errors.add_metric((service,), _buckets(held), held.total)
+        return errors
+
+
+def _buckets(held: Histogram) -> list[tuple[str, int]]:
+    """Upper bound, and how many figures lie up to it."""
+    bounds = [floatToGoString(bound) for bound in (*held.bounds, float('inf'))]
+    return list(zip(bounds, accumulate(held.counts), strict=True))
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -7,6 +7,7 @@
 
 import threading
 from collections.abc import Callable, Iterator, Mapping
+from enum import StrEnum
 from typing import Protocol
 
 from msgspec import Struct
@@ -51,6 +52,23 @@
     waiting: int
     slots: int
 
+    @property
+    def requests(self) -> int:
+        """All calls there."""
+        return self.running + self.waiting
+
+
+class Refusal(StrEnum):
+    """Why a backend server refused a call, as far as its answer tells.
+
+    `SLOTS_FREE` leaves its memory, or the call's time in its queue.
+    """
+
+    LEAVING = 'leaving'
+    SLOTS_TAKEN = 'slots_taken'
+    SLOTS_FREE = 'slots_free'
+    UNTOLD = 'untold'
+
 
 class AttemptFailed(Exception):
     """An attempt that ended without an answer that can be passed on as good.
@@ -76,6 +94,15 @@
         self.leaving = leaving
         self.answer = answer
 
+    @property
+    def refusal(self) -> Refusal:
+        """Why the server refused the call, if it did."""
+        if self.leaving:
+            return Refusal.LEAVING
+        if self.load is None:
+            return Refusal.UNTOLD
+        return Refusal.SLOTS_TAKEN if self.load.running >= self.load.slots else Refusal.SLOTS_FREE
+
 
 class Cancellation:
     """Lets another thread break off what a call waits for.
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -54,6 +54,10 @@
     outcome: str = ''
     code: str = ''
     seconds: float = 0.0
+    #: What its backend server told of itself, None if it did not.
+    told: EngineLoad | None = None
+    #: Why its backend server refused it, '' if it did not.
+    refusal: str = ''
 
     def as_log(self) -> dict:
         """Plain values: what decided the attempt and how it ended."""
@@ -67,8 +71,10 @@
             'load': placed.load,
             'mean': placed.mean,
             'load_age': None if placed.load_age is None else round(placed.load_age, 3),
+            'told': None if self.told is None else self.told.requests,
             'outcome': self.outcome,
             'code': self.code,
+            'refusal': self.refusal,
             'answered': None if self.answered is None else round(self.answered - self.began, 3),
             'seconds': round(self.seconds, 3),
         }
@@ -204,17 +210,24 @@
                 job.unsent += 1
             else:
                 job.sent += 1
-            self._note_load(placed, failure.load)
+            if failure.outcome is Outcome.ENGINE_REFUSED:
+                job.attempts[-1].refusal = failure.refusal
+                self._metrics.count(f'engine_refused.{failure.refusal}')
+            self._note_load(job, placed, failure.load)
             raise
         job.sent += 1
-        self._note_load(placed, answer.load)
+        self._note_load(job, placed, answer.load)
         job.attempts[-1].answered = self._environment.monotonic()
         self._decider.send(Began(job.call.id))
         return answer
 
-    def _note_load(self, placed: Placed, load: EngineLoad | None) -> None:
-        if load is not None:
-            self._decider.send(EngineTold(placed.engine, load.running + load.waiting))
+    def _note_load(self, job: Job, placed: Placed, load: EngineLoad | None) -> None:
+        if load is None:
+            return
+        job.attempts[-1].told = load
+        # The call itself was not there yet when it was placed.
+        self._metrics.belief_error(job.call.service, load.requests - placed.load - 1)
+        self._decider.send(EngineTold(placed.engine, load.requests))
 
     def _next_place(self, job: Job, placed: Placed, failure: AttemptFailed, passed: bool) -> Placed:
         """Where the call goes after a failed attempt; raises if nowhere."""
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -66,9 +66,12 @@
         metrics.count('refused.fleet_full', 3)
         metrics.gauge('calls_in_flight', 7)
         metrics.latency('whole', 'llm', 0.07)
+        metrics.belief_error('llm', 3)
         page = metrics.page().decode()
         self.assertIn('seamhold_events_total{what="refused",why="fleet_full"} 3.0', page)
         self.assertIn('seamhold_calls_in_flight 7.0', page)
         self.assertIn(
             'seamhold_call_seconds_bucket{le="0.1",service="llm",stage="whole"} 1.0', page
         )
+        self.assertIn('seamhold_belief_error_calls_bucket{le="2.0",service="llm"} 0.0', page)
+        self.assertIn('seamhold_belief_error_calls_bucket{le="4.0",service="llm"} 1.0', page)
