An engine that starts again under its id is another one; another writer's entry names none

Nothing read born, a restart under the same id kept readings, holders, failures and suspicion of the start before; of 15 odd entries 13 became an engine to use and one stopped the reading of the whole list (KeyError).

--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections import Counter
 
 from msgspec import Struct, field
 from msgspec.structs import replace
@@ -18,6 +19,21 @@
 RISING_STEPS = (0.25, 0.5, 0.75)
 
 
+def without_untold_starts(engines: list[Engine]) -> list[Engine]:
+    """The list without entries of other writers, as far as their starts tell.
+
+    Where most engines of a service tell when they started, one that does not is none of
+    them; where most do not, the platform does not have it.
+    """
+    listed = Counter(engine.service for engine in engines)
+    told = Counter(engine.service for engine in engines if engine.started)
+    return [
+        engine
+        for engine in engines
+        if engine.started or 2 * told[engine.service] <= listed[engine.service]
+    ]
+
+
 class _EngineState(Struct):
     engine: Engine
     since: float
@@ -91,7 +107,9 @@
     def set_list(self, engines: list[Engine], now: float) -> None:
         """Take over the platform's list; it may be behind."""
         self._serving.clear()
+        engines = without_untold_starts(engines)
         names = {engine.name for engine in engines}
+        self._drop(self._replaced(engines, names))
         self._unlisted = set(self._states) - names
         self.drop_unlisted(now)
         for engine in engines:
@@ -106,13 +124,25 @@
         if not self._unlisted or now < self.outage_until:
             return []
         dropped = sorted(self._unlisted)
-        for name in dropped:
-            del self._states[name]
-            self._leaving.pop(name, None)
+        self._drop(dropped)
         self._unlisted.clear()
         self._serving.clear()
         return dropped
 
+    def _drop(self, names: list[str]) -> None:
+        for name in names:
+            del self._states[name]
+            self._leaving.pop(name, None)
+
+    def _replaced(self, engines: list[Engine], names: set[str]) -> list[str]:
+        """The engines at whose addresses another has come: no outage excuses them."""
+        addresses = {engine.address for engine in engines if engine.name not in self._states}
+        return [
+            name
+            for name, state in self._states.items()
+            if name not in names and state.engine.address in addresses
+        ]
+
     def _set_engine(self, engine: Engine, now: float) -> None:
         held = self._states.get(engine.name)
         if engine.phase is Phase.LEAVING:
--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -323,6 +323,18 @@
     code = 'platform_throttled'
 
 
+class EntryUnreadable(SeamholdError):
+    """An entry of a list lacks a field or has one of another type: it names nothing."""
+
+    code = 'entry_unreadable'
+
+
+class EntryUnsound(EntryUnreadable):
+    """An entry of a list has all its fields, and one says what cannot be."""
+
+    code = 'entry_unsound'
+
+
 def _codes(kind: type[SeamholdError]) -> dict[str, type[SeamholdError]]:
     found = {kind.code: kind}
     for child in kind.__subclasses__():
--- a/packages/messages/seamhold_messages/fleet.py
+++ b/packages/messages/seamhold_messages/fleet.py
@@ -19,9 +19,12 @@
 class Engine(Struct, frozen=True):
     """One back end as the platform's list names it.
 
-    `incarnation` changes each time the engine starts, `slots` is how many
-    calls it takes at once, `weight` its share relative to its siblings.
-    `cold_seconds` is how much longer it is slow from its start, by its own word.
+    `name` is of one start of the engine: another start holds and knows nothing of this
+    one, so each belief about an engine is held by its name.  `incarnation` is what it
+    is told to be expected as, `slots` is how many calls it takes at once, `weight` its
+    share relative to its siblings.  `cold_seconds` is how much longer it is slow from
+    its start, by its own word, and `started` when that was, in milliseconds since 1970,
+    0 if it does not tell.
     """
 
     name: str
@@ -33,6 +36,7 @@
     weight: float = 1.0
     phase: Phase = Phase.LIVE
     cold_seconds: float = 0.0
+    started: int = 0
 
 
 def is_news_of_engine(before: Engine | None, after: Engine | None) -> bool:
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from seamhold_messages.errors import (
+    EntryUnreadable,
     PlatformConflict,
     PlatformGone,
     PlatformUnavailable,
@@ -40,6 +41,8 @@
 SETTINGS_WATCH_SECONDS = 4.0
 #: Calls at once for an engine whose listing does not say.
 DEFAULT_SLOTS = 64
+#: Of so many entries that cannot be read the logs tell; the rest are counted.
+UNREADABLE_TOLD_MAX = 50
 
 
 def engine_from(item: PlatformObject) -> Engine:
@@ -213,6 +216,8 @@
         self._read = read
         self._deliver = deliver
         self._items: dict[str, object] = {}
+        #: What was told of entries that cannot be read, by name.
+        self._unreadable: dict[str, str] = {}
 
     def listed(self, objects: list[PlatformObject]) -> None:
         """Replace all items."""
@@ -235,10 +240,27 @@
     def _put(self, item: PlatformObject) -> None:
         try:
             self._items[item.name] = self._read(item)
-        except (TypeError, ValueError):
-            # The last good reading stays in use.
-            self.metrics.count(f'platform.{self.kind}.unreadable')
-            self.log.warning('list.unreadable', object=item.name)
+            self._unreadable.pop(item.name, None)
+        except EntryUnreadable as error:
+            self._leave_out(item, error)
+        except (AttributeError, TypeError, ValueError) as error:
+            self._leave_out(item, EntryUnreadable(repr(error)))
+
+    def _leave_out(self, item: PlatformObject, error: EntryUnreadable) -> None:
+        """It names nothing that could be used, whatever stood there before."""
+        self._items.pop(item.name, None)
+        self._note_unreadable(item, error)
+
+    def _note_unreadable(self, item: PlatformObject, error: EntryUnreadable) -> None:
+        """Count it; told once for each cause, and of so many entries at most."""
+        self.metrics.count(f'{error.code}.{self.kind}')
+        if self._unreadable.get(item.name) == error.detail:
+            return
+        if len(self._unreadable) < UNREADABLE_TOLD_MAX or item.name in self._unreadable:
+            self._unreadable[item.name] = error.detail
+            self.log.warning(
+                'list.unreadable', object=item.name, code=error.code, detail=error.detail
+            )
 
 
 class SettingsFollower(Follower):
--- a/packages/router/seamhold/forwarding/held.py
+++ b/packages/router/seamhold/forwarding/held.py
@@ -32,6 +32,8 @@
 #: How often the list is looked at for engines that came since, in seconds: after
 #: an outage of the store entries come back within two seconds.
 LOOK_SECONDS = 0.1
+#: What an engine that is asked may do instead of telling what it holds.
+UNKNOWN = (urllib3.exceptions.HTTPError, ValueError, TypeError, KeyError, AttributeError)
 
 
 def engines_to_ask(
@@ -112,8 +114,8 @@
         url = f'http://{engine.address}{self._dialect.held_path}'
         try:
             answer = urllib3.request('GET', url, timeout=ASK_SECONDS, retries=False)
-            parts = self._dialect.held(json.loads(answer.data))
-        except (urllib3.exceptions.HTTPError, ValueError, TypeError, KeyError) as error:
+            parts = self._dialect.held(json.loads(answer.data), engine.started)
+        except UNKNOWN as error:
             self._log.info('held.unknown', engine=engine.name, detail=repr(error))
             return
         chats = [part.id for part in parts if part.tokens >= TOKENS_MIN]
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -305,10 +305,11 @@
     def verdict(self, status: int, headers: Mapping[str, str], request_id: str) -> Verdict:
         """What the head of an answer says."""
 
-    def held(self, body: dict) -> list[PromptPart]:
+    def held(self, body: dict, started: int) -> list[PromptPart]:
         """The parts of prompts that a backend server says it keeps.
 
-        Raises ValueError, TypeError or KeyError if that cannot be read.
+        Raises ValueError, TypeError, KeyError or AttributeError if that cannot be read,
+        or is of another start than `started`, which is 0 if it is not known.
         """
 
 
--- a/standins/standins/httpd.py
+++ b/standins/standins/httpd.py
@@ -28,9 +28,13 @@
         """The request's body as JSON."""
         return json.loads(self.read_body() or b'{}')
 
+    def encoded(self, value: object) -> bytes:
+        """The body that tells `value`."""
+        return json.dumps(value).encode()
+
     def send_json(self, status: int, value: object, **headers: str) -> None:
         """Answer with JSON and close nothing."""
-        body = json.dumps(value).encode()
+        body = self.encoded(value)
         self.send_response(status)
         self.send_header('Content-Type', 'application/json')
         self.send_header('Content-Length', str(len(body)))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -129,6 +129,23 @@
         self.assertTrue(view.failed('a', 0.3, 0.5))
         self.assertEqual(Phase.SUSPECT, view.phase('a', 0.4))
 
+    def test_an_engine_that_started_again_at_its_address_is_gone_also_in_an_outage(self):
+        view = EngineView()
+        view.set_list([Engine('a@1', 's', 'a:1', started=1)], 0.0)
+        view.failed('a@1', 1.0)
+        view.outage_until = 20.0
+        view.set_list([Engine('a@2', 's', 'a:1', started=2)], 2.0)
+        self.assertEqual({'a@2'}, set(view.serving('s', 2.1).engines))
+
+    def test_an_entry_without_a_start_among_others_that_tell_it_names_no_engine(self):
+        told = [Engine(f'e{number}', 's', f'e:{number}', started=1) for number in range(3)]
+        other = Engine('other', 's', 'o:1')
+        view = EngineView()
+        view.set_list([*told, other], 0.0)
+        self.assertNotIn('other', view.serving('s', 0.0).engines)
+        view.set_list([told[0], other, Engine('more', 's', 'm:1')], 1.0)
+        self.assertEqual({'e0', 'other', 'more'}, set(view.serving('s', 1.0).engines))
+
     def test_an_entry_that_lapsed_in_an_outage_keeps_its_engine_for_a_while(self):
         view = EngineView()
         view.set_list([engine('a'), engine('b')], 0.0)
