A soak in the platform's dialect: boxes as they are deployed, and the load bound checked

Cause: no soak spoke the dialect or counted the bound as the users do; the fault showed only on their machines. Ruled out: the product's own soak with more engines (another protocol, no words of load).

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SOURCES = packages platform standins tests scenarios models measure soak
 BINARY = dist/seamhold
 
-.PHONY: install demo up test scenarios mutants models measure soak soak-short soak-known codestyle format lock binary check-binary clean
+.PHONY: install demo up test scenarios mutants models measure soak soak-short soak-dialect soak-dialect-short soak-known codestyle format lock binary check-binary clean
 
 install: $(STAMP)
 
@@ -50,6 +50,13 @@
 soak-short: install
 	$(BIN)/python -m soak --seed 1 --seconds 10
 
+# Boxes as they are deployed, in the platform's dialect; two short runs of known seeds.
+soak-dialect-short: install
+	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --runs 2 --seconds 12
+
+soak-dialect: install
+	cd platform && ../$(BIN)/python -m dialect_soak --seed $(SEED) --runs $(RUNS)
+
 soak-known: install
 	$(BIN)/python -m soak --known
 
