An engine in use that does not tell its start stays when most others begin to

Cause: read once more: engines that learn to tell their start are replaced one after the other, and at the half of it all the others would have been dropped at once. Ruled out: no such rule (a foreign entry without a start would be tried, and refuse with 421). Change: only entries that come while most tell it are another writer's.

--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -7,6 +7,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Container
 
 from msgspec import Struct, field
 from msgspec.structs import replace
@@ -19,18 +20,21 @@
 RISING_STEPS = (0.25, 0.5, 0.75)
 
 
-def without_untold_starts(engines: list[Engine]) -> list[Engine]:
+def without_other_writers(engines: list[Engine], known: Container[str]) -> list[Engine]:
     """The list without entries of other writers, as far as their starts tell.
 
-    Where most engines of a service tell when they started, one that does not is none of
-    them; where most do not, the platform does not have it.
+    Where most engines of a service tell when they started, one that comes without it is
+    none of them; where most do not, the platform does not have it.  One that is `known`
+    stays: engines that learn to tell it are replaced one after the other.
     """
     listed = Counter(engine.service for engine in engines)
     told = Counter(engine.service for engine in engines if engine.started)
     return [
         engine
         for engine in engines
-        if engine.started or 2 * told[engine.service] <= listed[engine.service]
+        if engine.started
+        or engine.name in known
+        or 2 * told[engine.service] <= listed[engine.service]
     ]
 
 
@@ -107,7 +111,7 @@
     def set_list(self, engines: list[Engine], now: float) -> None:
         """Take over the platform's list; it may be behind."""
         self._serving.clear()
-        engines = without_untold_starts(engines)
+        engines = without_other_writers(engines, self._states)
         names = {engine.name for engine in engines}
         self._drop(self._replaced(engines, names))
         self._unlisted = set(self._states) - names
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -145,6 +145,8 @@
         self.assertNotIn('other', view.serving('s', 0.0).engines)
         view.set_list([told[0], other, Engine('more', 's', 'm:1')], 1.0)
         self.assertEqual({'e0', 'other', 'more'}, set(view.serving('s', 1.0).engines))
+        view.set_list([*told, other], 2.0)
+        self.assertIn('other', view.serving('s', 2.0).engines)
 
     def test_an_entry_that_lapsed_in_an_outage_keeps_its_engine_for_a_while(self):
         view = EngineView()
