--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -221,6 +221,7 @@
             self._group_untold[group] += after - before
 
     def _growth(self, engine: str) -> Work:
+        """This box's own calls since, times those of its peers, within what is known."""
         unsent = self._unsent.get(engine)
         factor = self._peer_growth * len(self._peers)
         if unsent is None or not factor:
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -51,7 +51,7 @@
 
     `loads` and `chooser` are for those who embed it with another source of
     load or another rule; the daemon uses what is built in, which draws among engines
-    that are as good by `incarnation`'s own luck.  Among engines of equal load, calls
+    that are as good, with a generator seeded by `incarnation`.  Among engines of equal load, calls
     that reuse nothing go to one of `failure_domain`.
     """
 
