--- /dev/null
+++ b/tests/test_digests.py
@@ -0,0 +1,117 @@
+"""What boxes tell each other: whole, in part, lost, doubled and overtaken."""
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from seamhold_membership import (
+    Digest,
+    DigestReceiver,
+    DigestSender,
+    Event,
+    EventKind,
+)
+from seamhold_messages.work import Holding, Usage, Work
+from seamhold_peers import DigestReader, EncodedDigest, NameTable
+from seamhold_peers.datagrams import DATAGRAM_MAX_BYTES
+
+LOADS = st.dictionaries(
+    st.sampled_from([f'e{number}' for number in range(6)]),
+    st.builds(Work, st.integers(1, 99), st.integers(0, 10**6)),
+)
+USAGE = st.dictionaries(
+    st.sampled_from(['w1', 'w2']),
+    st.builds(Usage, st.builds(Work, st.integers(1, 9)), st.integers(0, 50).map(float)),
+)
+
+
+class TestEvacuationsInDigests(testtools.TestCase):
+    def test_the_version_of_their_list_travels_and_costs_nothing_where_there_is_none(self):
+        reader = DigestReader(NameTable())
+        for version in (0, 7):
+            digest = Digest('b', 'x', evacuations_version=version)
+            read = reader.read(EncodedDigest(digest).data)
+            self.assertEqual(version, read.evacuations_version)
+        long = EncodedDigest(Digest('b', 'x', evacuations_version=7)).size
+        self.assertEqual(1, long - EncodedDigest(Digest('b', 'x')).size)
+
+
+class TestDigests(testtools.TestCase):
+    @given(
+        st.lists(st.tuples(LOADS, USAGE, st.sampled_from(('heard', 'lost', 'late', 'answered'))))
+    )
+    def test_what_is_heard_is_what_was_told(self, steps):
+        names = NameTable()
+        names.add([f'e{number}' for number in range(6)] + ['w1', 'w2'])
+        sender, receiver, reader = DigestSender(), DigestReceiver(), DigestReader(names)
+        late = []
+        last = 0
+        for loads, usage, fate in steps:
+            truth = Digest('box', '1', loads=loads, usage=usage, settings_total=7)
+            message = sender.next_for('peer', truth, 0)
+            data = EncodedDigest(message).data
+            if fate == 'late':
+                late.append(data)
+            if fate in ('lost', 'late'):
+                continue
+            digest = reader.read(data)
+            if digest is None:
+                # Nothing full was read yet, so its sender is not known.
+                self.assertEqual(0, last)
+                continue
+            heard = receiver.hear(digest)
+            self.assertEqual((loads, usage, 7), (heard.loads, heard.usage, heard.settings_total))
+            last = heard.seq
+            for data in late:
+                self.assertIsNone(receiver.hear(reader.read(data)))
+            late.clear()
+            if fate == 'answered':
+                sender.heard('peer', receiver.last('box'))
+
+    def test_an_answered_state_makes_the_next_digest_short(self):
+        sender = DigestSender()
+        truth = Digest('box', '1', loads={'a': Work(1, 10), 'b': Work(2, 20)})
+        first = sender.next_for('peer', truth, 0)
+        self.assertTrue(first.full)
+        sender.heard('peer', first.seq)
+        short = sender.next_for('peer', replace(truth, loads={'a': Work(1, 10)}), 0)
+        self.assertEqual({'b': Work(0, 0)}, short.loads)
+        sender.forget('peer')
+        self.assertTrue(sender.next_for('peer', truth, 0).full)
+
+    def test_a_peer_that_lost_its_state_gets_a_full_digest(self):
+        sender, receiver = DigestSender(), DigestReceiver()
+        truth = Digest('box', '1', loads={'a': Work(1, 10)})
+        receiver.hear(sender.next_for('peer', truth, 0))
+        sender.heard('peer', receiver.last('box'))
+        receiver.forget('box')
+        self.assertIsNone(receiver.hear(sender.next_for('peer', truth, 0)))
+        sender.heard('peer', receiver.last('box'))
+        heard = receiver.hear(sender.next_for('peer', truth, 0))
+        self.assertEqual(truth.loads, heard.loads)
+
+    def test_a_new_start_is_not_taken_for_the_old_one(self):
+        receiver = DigestReceiver()
+        receiver.hear(Digest('box', '1', seq=9, loads={'a': Work(1, 10)}))
+        self.assertIsNone(receiver.hear(Digest('box', '2', seq=10, base=9)))
+        self.assertEqual({}, receiver.hear(Digest('box', '2', seq=1)).loads)
+
+    def test_what_peers_need_least_is_left_out_of_a_datagram_that_is_too_large(self):
+        names = NameTable()
+        names.add(f'e{number}' for number in range(60))
+        loads = {f'e{number}': Work(1, 1) for number in range(60)}
+        held = tuple(Holding(number, 'e1') for number in range(64))
+        events = [Event(EventKind.BOX_GONE, 'b' * 90, '1' * 20, 'c' * 90)] * 4
+        whole = Digest('box', '1', loads=loads, events=events, held=held)
+        encoded = EncodedDigest(whole)
+        self.assertLessEqual(len(encoded.data), DATAGRAM_MAX_BYTES)
+        self.assertEqual(loads, DigestReader(names).read(encoded.data).loads)
+        self.assertEqual(([], ()), (encoded.digest.events, encoded.digest.held))
+        small = EncodedDigest(replace(whole, held=held[:3], events=[]))
+        self.assertEqual(held[:3], small.digest.held)
+
+    def test_what_is_no_digest_is_not_read(self):
+        reader = DigestReader(NameTable())
+        for data in (b'', b'\xff\xff\xff', b'\x0a\xff', bytes(50)):
+            self.assertIsNone(reader.read(data))
