--- a/tests/utils/delayed_fleet.py
+++ b/tests/utils/delayed_fleet.py
@@ -13,9 +13,10 @@
 from functools import partial
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from seamhold_attempts.retry import Outcome
-from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.fleet import Box, Engine, Phase
 from seamhold_messages.work import Call, Decision, Placed, Refused, Work
 from seamhold_peers import EncodedDigest
 from seamhold_routing import Versions
@@ -42,6 +43,8 @@
 BYTES_PER_SECOND = 8192
 #: Peers that a box tells each time.
 DIGEST_PEERS = 5
+#: An engine that leaves serves on for so long.
+DRAIN_SECONDS = 3.0
 #: Boxes look at calls that wait so often.
 QUEUE_SECONDS = 0.05
 
@@ -125,6 +128,7 @@
         #: Until then no digest that is sent arrives.
         self.deaf_until = 0.0
         self._tells = tells
+        self._slots = slots
         self._chance = random.Random(seed)
         self._numbers = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -145,6 +149,37 @@
             act()
         self.now = ends
 
+    def add_engine(self) -> None:
+        """An empty engine comes, which all boxes know at once."""
+        number = next(self._numbers)
+        name, address = f'engine-{number}', f'10.2.0.{number}:1'
+        engine = Engine(name, SERVICE, address, incarnation='1', slots=self._slots)
+        self.engines.append(engine)
+        self._past[engine.name] = deque([(self.now, 0)])
+        for box in self.boxes.values():
+            box.names.add([engine.name])
+        self._list_engines()
+
+    def drain_engine(self, engine: Engine) -> None:
+        """An engine says that it leaves: it ends some seconds later, and counts until then."""
+        place = self.engines.index(engine)
+        self.engines[place] = replace(engine, phase=Phase.LEAVING)
+        self._list_engines()
+        self._at(self.now + DRAIN_SECONDS, self._end_engine, self.engines[place])
+
+    def _end_engine(self, engine: Engine) -> None:
+        self.engines.remove(engine)
+        self._list_engines()
+
+    @property
+    def ready_engines(self) -> list[Engine]:
+        """The engines that do not leave."""
+        return [engine for engine in self.engines if engine.phase is Phase.LIVE]
+
+    def _list_engines(self) -> None:
+        for box in self.boxes.values():
+            self._decided(box, box.router.set_engines(list(self.engines), self.now))
+
     def broken_windows(self, since: float = 0.0) -> int:
         """In how many windows, one for each arrival, the promise was broken."""
         window: deque[Arrival] = deque()
@@ -251,7 +286,7 @@
 
     def mean_load(self) -> float:
         """Calls that an engine holds, on the average."""
-        return sum(self._held.values()) / len(self.engines)
+        return sum(self._held[engine.name] for engine in self.engines) / len(self.engines)
 
     # Boxes.
 
