--- a/packages/placement/seamhold_placement/bound.py
+++ b/packages/placement/seamhold_placement/bound.py
@@ -23,6 +23,9 @@
 #: What a call to another failure domain costs, in calls of load: what is known
 #: of the load is not exact to less.
 FAR_CALLS = 1
+#: However many engines leave, the bound is not below this multiple of the mean of those
+#: that may get work, which has to go to these.
+LEAST_MULTIPLE = 1.1
 
 
 class BoundPolicy(Struct, frozen=True):
@@ -60,10 +63,12 @@
 
 
 class Totals(Struct, frozen=True):
-    """Sums over all engines of the service."""
+    """Sums over the engines of a service that may get work, and over those that leave."""
 
     weight: float
     load: Work
+    leaving_weight: float = 0.0
+    leaving_load: Work = NO_WORK
 
 
 class Choice(Struct, frozen=True):
@@ -106,9 +111,25 @@
 
 
 def _bound(totals: Totals, work: Work, policy: BoundPolicy) -> _Bound:
+    """What an engine may carry with `work`, of the mean that is promised.
+
+    The promise counts engines that leave until they are gone.  They empty, so the mean of
+    all falls below that of those that may get work, and a bound taken of these is above
+    what is promised.  Up to 5 of 14 engines leave at once, 118 calls a second: 64 of
+    597 calls above in five seconds, 14 so (routers alone, one seed).
+    """
     after = totals.load + work
-    scale = policy.admit_multiple / totals.weight
-    return _Bound(scale * after.requests, scale * after.tokens, policy)
+    calls = _per_weight(after.requests, totals, totals.leaving_load.requests, policy)
+    tokens = _per_weight(after.tokens, totals, totals.leaving_load.tokens, policy)
+    return _Bound(calls, tokens, policy)
+
+
+def _per_weight(load: float, totals: Totals, leaving: float, policy: BoundPolicy) -> float:
+    """The bound for a weight of one; `load` is on engines that may get work."""
+    mean = load / totals.weight
+    mean_of_all = (load + leaving) / (totals.weight + totals.leaving_weight)
+    least = min(policy.admit_multiple, LEAST_MULTIPLE)
+    return max(policy.admit_multiple * min(mean, mean_of_all), least * mean)
 
 
 def choose(
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -177,6 +177,9 @@
         self._ranking = Ranking()
         self._serving: Serving | None = None
         self._weight = 0.0
+        #: The engines that leave have sums of their own, and count for the bound.
+        self._leaving_group = f'{name}/leaving'
+        self._leaving_weight = 0.0
         #: The serving engines in this box's failure domain.
         self._near: set[str] = set()
         #: Engines that refused a call as full, and until when that is believed.
@@ -225,7 +228,9 @@
             self._serving = serving
             self._ranking.set_weights(serving.weights)
             self._loads.set_group(self.name, serving.engines)
+            self._loads.set_group(self._leaving_group, serving.leaving)
             self._weight = sum(engine.weight for engine in serving.engines.values())
+            self._leaving_weight = sum(engine.weight for engine in serving.leaving.values())
             self._near = {
                 name
                 for name, engine in serving.engines.items()
@@ -250,7 +255,12 @@
             self._near,
             self._full_engines(now),
         )
-        totals = Totals(self._weight, self._loads.total(self.name))
+        totals = Totals(
+            self._weight,
+            self._loads.total(self.name),
+            self._leaving_weight,
+            self._loads.total(self._leaving_group),
+        )
         hint = candidates.place_of(call.hint)
         if call.sticky:
             choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
