What peers may have sent is counted whole, without the limit of a half

Cause: the limit hid calls where most come: at an engine that was told little and gets much. Change: taken out.

--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -38,12 +38,6 @@
 #: promise in the worst second, 53 at engines that had not read their prompt; 3 and 23 with
 #: fading (routers alone, one seed).
 FADING_FROM_SECONDS = 0.25
-#: What nobody told is taken to be so large a part of what was told, at most.  With many
-#: boxes one call of a box's own would else stand for more than an engine holds: 65 boxes,
-#: 400 calls a second, none of them hot: mean believed 6.7 for 6.1, 6.4 so (routers alone,
-#: two seeds).  Where calls go is no different by it: 76 and 86 of 1,000 to an engine that
-#: had not read their prompt.
-UNTOLD_SHARE = 0.5
 #: Weight of the newest call in the smoothed tokens of a call.
 TOKENS_SMOOTHING = 0.1
 
@@ -249,16 +243,12 @@
             self._group_untold[group] += after - before
 
     def _growth(self, engine: str) -> Work:
-        """This box's own calls since, times those of its peers, within what is known."""
+        """This box's own calls since, times those of its peers."""
         unsent = self._unsent.get(engine)
         factor = self._peer_growth * len(self._peers)
         if unsent is None or not factor:
             return NO_WORK
-        requests = unsent.requests * factor
-        if engine in self._readings:
-            requests = min(requests, UNTOLD_SHARE * self.known(engine).requests)
-        scale = requests / unsent.requests
-        return Work(round(requests), round(unsent.tokens * scale))
+        return Work(round(unsent.requests * factor), round(unsent.tokens * factor))
 
     # What is known.
 
