An engine that answers nobody has not come to rest: its reading holds, peers' calls count whole

Cause: silence was taken for rest. What an engine told faded by the clock, and of peers' calls since a quarter counted, since calls end meanwhile; at an engine that reads long prompts none ends. Change: a box's own call whose answer does not begin within the usual time (RFC 6298's estimate, by service) tells; while it waits, the reading stays and peers' calls count whole.

A test of readings that expire says now that its own call was answered; what happens where it was not has tests of its own.

--- a/measure/drive.py
+++ b/measure/drive.py
@@ -281,10 +281,16 @@
         work = Work(1, prompt + output)
         engine.load += work
         self.tally.waits.append(self.now - self._asked.pop(placed.call_id, self.now))
-        self.tally.reads.append(self.tally.waits[-1] + (prompt - cached) / PREFILL_RATE)
+        read_seconds = (prompt - cached) / PREFILL_RATE
+        self.tally.reads.append(self.tally.waits[-1] + read_seconds)
+        self.at(self.now + read_seconds, self._answer, box, placed.call_id)
         seconds = engine.seconds(prompt - cached, output)
         self.at(self.now + seconds, self._finish, placed.call_id, engine.incarnation, work)
 
+    def _answer(self, box: str, call_id: str) -> None:
+        if box in self.routers:
+            self.routers[box].began(call_id, self.now)
+
     def _finish(self, call_id: str, incarnation: int, work: Work) -> None:
         box, name, _, _ = self._live.get(call_id, ('', '', None, None))
         if not name or self.engines[name].incarnation != incarnation:
--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -16,6 +16,9 @@
 calls a second of one prompt: 20 of 1,000 calls above the promise without, 1 with a quarter
 (routers alone, five seeds).
 
+An engine that answers nobody ends no calls either: its reading does not fade, and what
+peers may have sent there counts whole.
+
 Sums over the engines of a service are kept up with every change, so that a
 decision costs the same however many engines there are.
 """
@@ -27,6 +30,8 @@
 
 from seamhold_messages.work import NO_WORK, LoadReading, Work
 
+from .answering import Unanswered
+
 #: How long a reading stands for an engine's load, in seconds: some answers a second
 #: tell of each engine that works, so one of whom nobody heard for so long is at rest
 #: or stuck.
@@ -66,6 +71,8 @@
         self._readings: dict[str, _Reading] = {}
         #: This box's own starts and ends of late: a reading may be older.
         self._changes: dict[str, deque[_Change]] = defaultdict(deque)
+        #: An engine's silence tells something no sooner than its reading fades.
+        self._unanswered = Unanswered(FADING_FROM_SECONDS)
         self._tokens_per_call = 0.0
         self._group_of: dict[str, str] = {}
         self._group_known: dict[str, Work] = defaultdict(lambda: NO_WORK)
@@ -86,13 +93,22 @@
     def start(self, engine: str, work: Work, now: float = 0.0) -> None:
         """This box sends `work` to `engine`."""
         self._own[engine] = self._own.get(engine, NO_WORK) + work
+        self._unanswered.sent(engine, now)
         self._shift_known(engine, work)
         self._note_change(engine, work, now)
         self._tokens_per_call += TOKENS_SMOOTHING * (work.tokens - self._tokens_per_call)
         self._shift_unsent(engine, work)
 
-    def finish(self, engine: str, work: Work, now: float = 0.0) -> None:
-        """Work that this box sent to `engine` has ended."""
+    def answered(self, engine: str, sent_at: float, now: float) -> None:
+        """The answer to a call that this box sent to `engine` then begins."""
+        self._unanswered.answered(engine, self._group_of.get(engine, ''), sent_at, now)
+
+    def finish(
+        self, engine: str, work: Work, now: float = 0.0, sent_at: float | None = None
+    ) -> None:
+        """Work that this box sent to `engine` has ended; `sent_at` if it was not answered."""
+        if sent_at is not None:
+            self._unanswered.ended(engine, sent_at)
         left = self._own.get(engine, NO_WORK) - work
         self._own[engine] = left
         if left.requests <= 0:
@@ -134,9 +150,14 @@
         return True
 
     def expire(self, now: float) -> None:
-        """Let old readings fade, and go by what boxes tell where one is too old."""
+        """Let old readings fade, and go by what boxes tell where one is too old.
+
+        Not so at an engine that answers nobody: of its calls none has ended.
+        """
         for engine, reading in list(self._readings.items()):
             age = now - reading.at
+            if self.silent(engine, now):
+                continue
             if age > READING_SECONDS:
                 del self._readings[engine]
                 self._set_known(engine, self._told(engine))
@@ -264,6 +285,16 @@
         """What peers are taken to have sent to `engine` since the last word of it."""
         return self._untold.get(engine, NO_WORK)
 
+    def silent(self, engine: str, now: float) -> bool:
+        """Whether `engine` does not answer this box: none of its calls ends meanwhile."""
+        return self._unanswered.silent(engine, self._group_of.get(engine, ''), now)
+
+    def untold_at_silent(self, engine: str) -> Work:
+        """What peers are taken to have sent since, where no call ends to make up for it."""
+        peers = len(self._peers)
+        unsent = self._unsent.get(engine, NO_WORK)
+        return Work(unsent.requests * peers, unsent.tokens * peers)
+
     def estimate(self, engine: str) -> Work:
         """The best guess of all work on `engine` now."""
         return self.known(engine) + self.untold(engine)
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -87,7 +87,7 @@
         self.handlers = {
             Admit: self._admit,
             Again: self._again,
-            Began: lambda message: self._router.health.began(message.call_id),
+            Began: lambda message: self._router.began(message.call_id, self._clock()),
             Attempted: self._attempted,
             Closed: self._closed,
             Abandon: self._abandon,
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -44,6 +44,8 @@
     call: Call
     engine: str = ''
     patient_until: float = 0.0
+    #: When it was sent to its engine, None once its answer has begun.
+    sent_at: float | None = None
 
 
 class Router:
@@ -225,6 +227,7 @@
 
     def _start(self, placed: Placed, call: Call, now: float) -> Placed:
         self._active[call.id].engine = placed.engine
+        self._active[call.id].sent_at = now
         self._service(call.service).note_sent(placed.engine, now)
         self.health.sent(call.id, placed.engine, call.objective, now)
         if call.sticky:
@@ -232,14 +235,23 @@
         self.loads.start(placed.engine, call.work, now)
         return placed
 
+    def began(self, call_id: str, now: float) -> None:
+        """The answer to a call begins."""
+        self.health.began(call_id)
+        active = self._active.get(call_id)
+        if active is not None and active.sent_at is not None:
+            self.loads.answered(active.engine, active.sent_at, now)
+            active.sent_at = None
+
     def attempted(self, call_id: str, outcome: Outcome, now: float) -> list[Decision]:
         """An attempt ended; the call keeps its part of the limits."""
         active = self._active.get(call_id)
         if active is None or not active.engine:
             return []
         engine, active.engine = active.engine, ''
+        sent_at, active.sent_at = active.sent_at, None
         self.health.began(call_id)
-        self.loads.finish(engine, active.call.work, now)
+        self.loads.finish(engine, active.call.work, now, sent_at)
         self._note_outcome(engine, outcome, now)
         return self._drain_queue(active.call.service, now)
 
@@ -293,7 +305,7 @@
         service = self._service(active.call.service)
         service.queue.remove(call_id)
         if active.engine:
-            self.loads.finish(active.engine, active.call.work, now)
+            self.loads.finish(active.engine, active.call.work, now, active.sent_at)
         self._forget(call_id)
         return self._drain_queue(active.call.service, now)
 
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -85,6 +85,7 @@
         holders: Sequence[str] = (),
         near: Collection[str] = (),
         full: Collection[str] = (),
+        now: float = 0.0,
     ):
         self._chat = chat
         self._excluded = excluded
@@ -96,6 +97,7 @@
         ]
         self._near = near
         self._full = full
+        self._now = now
         self._names = self._in_order(ranking.first(chat))
         self._length = len(serving.engines) - sum(name in serving.engines for name in excluded)
 
@@ -141,7 +143,10 @@
         if name in self._full:
             load = Work(max(load.requests, engine.slots), load.tokens)
         holds, near = name in self._holders, name in self._near
-        untold = self._loads.untold(name)
+        if self._loads.silent(name, self._now):
+            untold = self._loads.untold_at_silent(name)
+        else:
+            untold = self._loads.untold(name)
         return Candidate(name, load, engine.slots, engine.weight, holds, near, untold)
 
 
@@ -254,6 +259,7 @@
             holders,
             self._near,
             self._full_engines(now),
+            now,
         )
         totals = Totals(
             self._weight,
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -109,6 +109,7 @@
     def test_an_engine_of_whom_nobody_hears_is_known_by_what_boxes_tell(self):
         self.table.set_peer('other', {'e': Work(4, 40)})
         self.table.start('e', Work(1, 10), 0.0)
+        self.table.answered('e', 0.0, 0.1)
         self.assertEqual(5, self.requests())
         self.table.read(LoadReading('e', 9), 1.0)
         self.table.set_peer('other', {'e': Work(2, 20)})
@@ -124,6 +125,31 @@
         self.assertEqual(3, self.requests())
         self.assertEqual(3, self.table.total('s').requests)
 
+    def test_an_engine_that_answers_nobody_holds_what_it_held(self):
+        self.table.set_peer('other', {})
+        self.table.set_peer('third', {})
+        for number in range(8):
+            self.table.start('e', Work(1, 10), number / 10)
+            self.table.answered('e', number / 10, number / 10 + 0.1)
+            self.table.finish('e', Work(1, 10), number / 10 + 0.1)
+        self.table.read(LoadReading('e', 9), 1.0)
+        self.table.start('e', Work(1, 10), 1.0)
+        self.assertFalse(self.table.silent('e', 1.2))
+        self.assertTrue(self.table.silent('e', 1.3))
+        self.table.expire(1.0 + 2 * READING_SECONDS)
+        self.assertEqual(10, self.table.known('e').requests)
+        self.table.answered('e', 1.0, 5.1)
+        self.assertFalse(self.table.silent('e', 5.1))
+        self.table.expire(5.1)
+        self.assertEqual(1, self.table.known('e').requests)
+
+    def test_what_peers_sent_to_a_silent_engine_counts_whole(self):
+        for peer in ('other', 'third'):
+            self.table.set_peer(peer, {})
+        self.table.read(LoadReading('e', 9), 1.0)
+        self.table.start('e', Work(1, 10), 1.1)
+        self.assertEqual(Work(2, 20), self.table.untold_at_silent('e'))
+
     def test_nothing_is_kept_of_engines_that_come_and_go(self):
         for number in range(50):
             self.table.start(f'e{number}', Work(1, 10), number)
@@ -131,6 +157,11 @@
             self.table.expire(float(number))
         self.assertLess(len(self.table._changes), 5)
 
+    def test_a_call_that_ends_unanswered_waits_no_more(self):
+        self.table.start('e', Work(1, 10), 0.0)
+        self.table.finish('e', Work(1, 10), 5.0, sent_at=0.0)
+        self.assertFalse(self.table.silent('e', 9.0))
+
     def test_boxes_are_told_only_what_engines_do_not_tell(self):
         self.table.start('e', Work(1, 10), 0.0)
         self.table.start('f', Work(1, 10), 0.0)
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -286,7 +286,7 @@
             call = Call(f'c{number}', 'w', 'app', str(number), Work(1, 1), 9.0)
             (placed,) = router.admit(replace(call, sticky=False, objective=0.4), 0.0)
             if placed.engine != 'e1':
-                router.health.began(call.id)
+                router.began(call.id, 0.1)
         router.tick(0.5)
         self.assertIn('e1', router.engines.serving('app', 0.5).engines)
         router.tick(0.9)
--- a/tests/utils/delayed_fleet.py
+++ b/tests/utils/delayed_fleet.py
@@ -277,6 +277,7 @@
         self._after(self.delays.head, self._hear_head, box, placed, told, sent_at)
 
     def _hear_head(self, box: TellingBox, placed: Placed, told: int, sent_at: float) -> None:
+        box.router.began(placed.call_id, self.now)
         if self._tells:
             box.router.engine_told(placed.engine, told, sent_at, self.now)
 
--- a/tests/utils/telling_fleet.py
+++ b/tests/utils/telling_fleet.py
@@ -181,6 +181,7 @@
             router = running.box.router
             if not running.answered and running.answers_at <= self.now:
                 running.answered = True
+                router.began(running.call.id, self.now)
                 if self._engines_tell:
                     requests = self._at[running.engine]
                     sent_at = running.answers_at - ANSWER_SECONDS
