Each peer is taken to have sent half as much as the box itself since the last word

Cause: a quarter counts too few where many calls move at once, as while engines leave. Ruled out: the whole (no safer, and more is read anew); three quarters (the same).

--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -151,7 +151,7 @@
     admit_share: Annotated[float, Meta(gt=0, le=1)] | None = None
     floor_requests: Annotated[int, Meta(ge=1)] = 2
     floor_tokens: Annotated[int, Meta(ge=0)] = 0
-    peer_growth: Annotated[float, Meta(ge=0, le=1)] = 0.25
+    peer_growth: Annotated[float, Meta(ge=0, le=1)] = 0.5
     patience: Annotated[float, Meta(ge=0, le=2)] = 0.1
     rising_seconds: Annotated[float, Meta(ge=0, le=600)] = 10.0
     suspect_seconds: Annotated[float, Meta(gt=0, le=60)] = 2.0
