Sight: an attempt's line tells of a silent engine and of the mean that the bound goes by

Cause: the operators' record had `load` and `mean`, and could tell neither whether engines were leaving nor whether the engine answered; the incident took a rig to see both. Change: `mean_of_all` and `silent` in the line, two fields, no decision.

--- a/Makefile
+++ b/Makefile
@@ -50,9 +50,11 @@
 soak-short: install
 	$(BIN)/python -m soak --seed 1 --seconds 10
 
-# Boxes as they are deployed, in the platform's dialect; two short runs of known seeds.
+# Boxes as they are deployed, in the platform's dialect; two short runs of known seeds, and one
+# of half a deployment of four failure domains whose engines come and are replaced.
 soak-dialect-short: install
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --runs 2 --seconds 12
+	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --seconds 12 --scale 0.5 --series hot,release+engines_come
 
 soak-dialect: install
 	cd platform && ../$(BIN)/python -m dialect_soak --seed $(SEED) --runs $(RUNS)
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -113,6 +113,8 @@
     `holders` counts those that are known.  `load` and `mean` are the calls that
     the box knew on the engine and on the average one when it decided; `load_age` is
     how long before the engine had told it, in seconds, None if boxes told it.
+    `mean_of_all` counts engines that leave, too, as the bound does; `silent` tells that
+    the engine did not answer this box.
     """
 
     call_id: str
@@ -127,6 +129,8 @@
     load: int = 0
     mean: float = 0.0
     load_age: float | None = None
+    mean_of_all: float = 0.0
+    silent: bool = False
 
 
 class Refused(Struct, frozen=True):
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -282,6 +282,8 @@
             source = self._other_holder(holders, likely, choice.name, serving)
         load = self._loads.estimate(choice.name).requests
         mean = totals.load.requests / len(serving.engines)
+        all_calls = totals.load.requests + totals.leaving_load.requests
+        mean_of_all = all_calls / (len(serving.engines) + len(serving.leaving))
         return Placed(
             call.id,
             choice.name,
@@ -295,6 +297,8 @@
             load,
             round(mean, 2),
             self._loads.reading_age(choice.name, now),
+            round(mean_of_all, 2),
+            self._loads.silent(choice.name, now),
         )
 
     @staticmethod
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -226,6 +226,20 @@
         (placed,) = router.admit(replace(call, id='two'), 1.4)
         self.assertAlmostEqual(0.3, placed.load_age)
 
+    def test_a_placement_tells_of_a_silent_engine_and_of_the_mean_of_all(self):
+        router = self.routers[0]
+        call = Call('one', 'w', 's', 'chat', Work(1, 1), 9.0)
+        (first,) = router.admit(call, 1.0)
+        self.assertFalse(first.silent)
+        engines = router.engines.all(1.0)
+        gone = next(engine for engine in engines if engine.name != first.engine)
+        listed = [engine for engine in engines if engine is not gone]
+        router.set_engines([*listed, replace(gone, phase=Phase.LEAVING)], 1.0)
+        (second,) = router.admit(replace(call, id='two', chat='chat'), 2.5)
+        self.assertEqual(first.engine, second.engine)
+        self.assertTrue(second.silent)
+        self.assertLess(second.mean_of_all, second.mean)
+
     def test_calls_that_were_on_their_way_when_an_engine_told_its_load_count(self):
         router = self.routers[0]
         for started in (1.0, 1.05, 1.1):
