--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -12,7 +12,7 @@
 from msgspec.structs import replace
 
 from seamhold_attempts.retry import Outcome
-from seamhold_limits import WorkspaceCaps, WorkspaceLimits
+from seamhold_limits import WorkspaceLimits
 from seamhold_membership import BoxView, Digest, EngineView, Event, EventKind
 from seamhold_messages.errors import NoEngine, SeamholdError
 from seamhold_messages.fleet import Box, Engine, Evacuation, Phase
@@ -23,14 +23,9 @@
 from .beliefs import LIST_SOURCE, OUTLIER_SOURCE, Belief, changes
 from .exchange import Knowledge, PeerExchange, Versions
 from .health import EngineHealth
-from .service import ServiceRouter, plan_for
-from .watchers import (
-    SILENT_SECONDS,
-    SILENT_SPREADS,
-    box_silent_seconds,
-    spread_seconds,
-    store_away,
-)
+from .plans import caps_for, plan_for
+from .service import ServiceRouter
+from .watchers import box_silent_seconds, store_away, watcher_silent_seconds
 
 NO_ENGINE_RETRY_SECONDS = 1.0
 #: After an outage of the platform its list is whole again within this time.
@@ -100,18 +95,9 @@
             name: service.cold_seconds for name, service in tree.fleet.services.items()
         }
         self.loads.peer_growth = placement.peer_growth
-        self.limits.set_caps(
-            {
-                name: WorkspaceCaps(
-                    space.limits.requests_in_flight,
-                    space.limits.tokens_in_flight,
-                    space.limits.requests_per_second,
-                )
-                for name, space in tree.workspaces.items()
-            }
-        )
+        self.limits.set_caps(caps_for(tree))
         for name, service in self._services.items():
-            service.use_plan(plan_for(self.tree, name))
+            service.use_plan(plan_for(tree, name))
 
     def set_engines(self, engines: list[Engine], now: float) -> list[Decision]:
         """Take over the platform's list of engines."""
@@ -273,23 +259,15 @@
         placed = service.place(active.call, now)
         if placed:
             return self._count([self._start(placed, active.call, now)])
-        if not self._can_wait(service, active, now, full_engine):
+        if not service.may_take_later(active.call, full_engine, now):
             error = NoEngine('no other engine serves this', NO_ENGINE_RETRY_SECONDS)
             return self._count([Refused(call_id, error.code, error.detail, error.retry_after)])
+        if not service.any_engine(now, active.call.excluded):
+            left = active.call.excluded - {full_engine}
+            active.call = replace(active.call, excluded=left)
+            service.note_full(full_engine, now)
         return self._count(self._enqueue(service, active.call, now))
 
-    @staticmethod
-    def _can_wait(service: ServiceRouter, active: _Active, now: float, full_engine: str) -> bool:
-        """Whether some engine may take the call later; a full one is one of these."""
-        excluded = active.call.excluded
-        if service.any_engine(now, excluded):
-            return True
-        if not full_engine or not service.any_engine(now, excluded - {full_engine}):
-            return False
-        active.call = replace(active.call, excluded=excluded - {full_engine})
-        service.note_full(full_engine, now)
-        return True
-
     def exclude(self, call_id: str, engine: str) -> None:
         """Keep the call away from `engine` from here on."""
         active = self._active.get(call_id)
@@ -401,7 +379,7 @@
     def follows_store(self, now: float) -> bool:
         """Whether this box is one of the few that watch the platform's store."""
         control = self.tree.fleet.control
-        silent_seconds = max(SILENT_SECONDS, SILENT_SPREADS * spread_seconds(self.boxes, control))
+        silent_seconds = watcher_silent_seconds(self.boxes, control)
         watches = self.exchange.selection.watches(
             self.boxes.live(now), self.boxes.store_lost(), silent_seconds, now
         )
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -2,15 +2,12 @@
 
 from collections.abc import Collection, Sequence
 
-from msgspec import Struct, field
-
 from seamhold_limits import WaitQueue
 from seamhold_membership import EngineView, Serving
 from seamhold_messages.fleet import Engine
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Call, Placed, Work
 from seamhold_placement import (
-    BoundPolicy,
     Candidate,
     Chooser,
     ColdShares,
@@ -21,8 +18,8 @@
     choose,
     choose_least_loaded,
 )
-from seamhold_settings import Tree
-from seamhold_settings.resolve import DEFAULTS
+
+from .plans import ServicePlan
 
 #: An engine that refused a call because it is full is taken to be full for so
 #: long: by then peers have told what they sent there.
@@ -35,38 +32,6 @@
 HINT_RANKS = 5
 
 
-class ServicePlan(Struct, frozen=True):
-    """What the settings say of placing one service's calls.
-
-    `patience` is how long a call waits for the engine that holds its cache
-    before it goes to another, in seconds.  `cold_per_second` is how many calls a
-    second an engine bears while it is cold, 0 if that is no fewer than later.
-    """
-
-    bound: BoundPolicy = field(default_factory=BoundPolicy)
-    queue_calls: int = 64
-    patience: float = 0.0
-    cold_per_second: float = 0.0
-
-
-def plan_for(tree: Tree, service: str) -> ServicePlan:
-    """What a tree says of placing the calls of `service`."""
-    placement = tree.fleet.placement
-    bound = BoundPolicy(
-        placement.admitted_multiple,
-        placement.floor_requests,
-        placement.floor_tokens,
-    )
-    offered = tree.fleet.services.get(service)
-    queue_calls = offered.policy.queue_calls if offered else None
-    if queue_calls is None:
-        queue_calls = tree.fleet.policy.queue_calls
-    if queue_calls is None:
-        queue_calls = DEFAULTS.queue_calls
-    cold_per_second = offered.cold_requests_per_second if offered else 0.0
-    return ServicePlan(bound, queue_calls, placement.patience, cold_per_second)
-
-
 class RankedEngines(Sequence[Candidate]):
     """The engines for one chat, best first, worked out as they are read.
 
@@ -200,6 +165,15 @@
         serving = self._engines.serving(self.name, now)
         return any(name not in excluded for name in serving.engines)
 
+    def may_take_later(self, call: Call, full_engine: str, now: float) -> bool:
+        """Whether some engine that is left for the call may take it later.
+
+        `full_engine`, '' for none, refused the call as full: it is one of these.
+        """
+        if self.any_engine(now, call.excluded):
+            return True
+        return bool(full_engine) and self.any_engine(now, call.excluded - {full_engine})
+
     def note_full(self, engine: str, now: float) -> None:
         """An engine refused a call because all its slots are taken."""
         self._full[engine] = now + FULL_SECONDS
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -16,7 +16,7 @@
 from seamhold.status import ExitStatus
 from seamhold_messages.errors import SettingsConflict, SettingsInvalid
 from seamhold_platform import ObjectKind, PlatformClient, PlatformObject
-from seamhold_routing.service import plan_for
+from seamhold_routing.plans import plan_for
 from seamhold_settings import Candidate, InForce, Step, load_tree, resolve
 from seamhold_settings.envelope import Edit
 from standins.platform import Platform
