A call that hangs by itself does not make an engine silent that answers later ones

Cause: found in reading: an answer that is lost leaves a call waiting to its deadline, and one such call held an engine's reading up for all that time, though the engine answers others. Ruled out: counting only the newest call (a queue of long prompts would look answered). Change: an answer takes the calls that were sent before it out of the count. Its test fails without.

--- a/packages/placement/seamhold_placement/answering.py
+++ b/packages/placement/seamhold_placement/answering.py
@@ -65,8 +65,12 @@
             self._sent_at.pop(engine, None)
 
     def answered(self, engine: str, service: str, sent_at: float, now: float) -> None:
-        """The answer to the call that was sent then begins."""
+        """The answer to the call that was sent then begins.
+
+        Calls that were sent before it and wait on do so for themselves: the engine answers.
+        """
         self._usual[service].note(now - sent_at)
+        self._sent_at[engine] = [at for at in self._sent_at.get(engine, []) if at > sent_at]
         self.ended(engine, sent_at)
 
     def silent(self, engine: str, service: str, now: float) -> bool:
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -143,6 +143,15 @@
         self.table.expire(5.1)
         self.assertEqual(1, self.table.known('e').requests)
 
+    def test_a_call_that_hangs_does_not_make_an_engine_silent_that_answers_later_ones(self):
+        for sent_at in (0.0, 1.0):
+            self.table.start('e', Work(1, 10), sent_at)
+        self.assertTrue(self.table.silent('e', 1.1))
+        self.table.answered('e', 1.0, 1.1)
+        self.assertFalse(self.table.silent('e', 9.0))
+        self.table.start('e', Work(1, 10), 9.0)
+        self.assertTrue(self.table.silent('e', 12.0))
+
     def test_what_peers_sent_to_a_silent_engine_counts_whole(self):
         for peer in ('other', 'third'):
             self.table.set_peer(peer, {})
