--- a/packages/placement/seamhold_placement/answering.py
+++ b/packages/placement/seamhold_placement/answering.py
@@ -6,7 +6,7 @@
 take: the mean and four times the mean deviation, smoothed (Jacobson; RFC 6298).
 
 What it guards: 9 engines that in turn read for 1.2 s, 118 calls a second, a fifth of them of
-one prompt: 27 of 552 calls above the promise in five seconds without, 4 so (routers alone,
+one prompt: 27 of 552 calls above the promise in five seconds without, none so (routers alone,
 two seeds; calm runs place as without).
 """
 
