--- a/packages/placement/seamhold_placement/answering.py
+++ b/packages/placement/seamhold_placement/answering.py
@@ -6,8 +6,8 @@
 take: the mean and four times the mean deviation, smoothed (Jacobson; RFC 6298).
 
 What it guards: 9 engines that in turn read for 1.2 s, 118 calls a second, a fifth of them of
-one prompt: 27 of 552 calls above the promise in five seconds without, none so (routers alone,
-two seeds; calm runs place as without).
+one prompt: 27 of 552 calls above the promise in five seconds without, 4 of 615 so, where a
+quarter of a box's own calls counts for each peer; none with a half (routers alone, two seeds).
 """
 
 from collections import defaultdict
