--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -13,9 +13,9 @@
 A box assumes that each of them sent as much as it did itself, scaled by `peer_growth`:
 so the older its knowledge is the less room it sees, and the room left at an engine is
 shared without a message per call.  8 boxes, up to 5 of 14 engines that leave, a hot prompt,
-0.05 to 0.1 s on each way: 45 of 657 calls above the promise in five seconds with a quarter, 22 with a
-half, 24 with the whole; calls that read their prompt anew on a calm run 0.062, 0.066 and
-0.075, of 65 boxes 0.083, 0.077 and 0.074 (routers alone, two seeds).
+0.05 to 0.1 s on each way: 45 of 657 calls above the promise in five seconds with a quarter,
+22 with a half, 24 with the whole; calls that read their prompt anew on a calm run 0.062, 0.066
+and 0.075, of 65 boxes 0.083, 0.077 and 0.074 (routers alone, two seeds).
 
 An engine that answers nobody ends no calls either: its reading does not fade, and what
 peers may have sent there counts whole.
