--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -3,7 +3,7 @@
 import sys
 import time
 
-from . import growth, path, placing, platform_calls, slopes, start
+from . import growth, path, placing, platform_calls, quarantine, slopes, start
 
 MEASUREMENTS = {
     'placing': placing.compare_ways,
@@ -13,6 +13,7 @@
     'path': path.measure,
     'platform': platform_calls.measure,
     'start': start.measure,
+    'quarantine': quarantine.measure,
 }
 
 
--- a/models/__main__.py
+++ b/models/__main__.py
@@ -4,10 +4,18 @@
 
 from minicheck import check_safety
 
-from . import claims, drain, evacuation, leaving, settings, tickets
+from . import claims, drain, evacuation, leaving, quarantine, settings, tickets
 from .base import Spec
 
-SPECS = (tickets.SPEC, claims.SPEC, settings.SPEC, leaving.SPEC, drain.SPEC, evacuation.SPEC)
+SPECS = (
+    tickets.SPEC,
+    claims.SPEC,
+    settings.SPEC,
+    leaving.SPEC,
+    drain.SPEC,
+    evacuation.SPEC,
+    quarantine.SPEC,
+)
 STATES_MAX = 400_000
 
 
--- a/scenarios/world.py
+++ b/scenarios/world.py
@@ -63,6 +63,8 @@
     def __init__(self):
         self.fleet = LocalFleet()
         self.calls: dict[str, Sent] = {}
+        #: The last of the copies of one request.
+        self.last_copy: Sent | None = None
         self.tickets: dict[str, str] = {}
         self.tree = yaml.safe_load(TREE.read_text(encoding='utf-8'))
         self.load = None
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,8 +10,7 @@
 import yaml
 
 from standins.fleet import HOST, FleetError, LocalFleet, Process, wait_until
-
-from .proxy import FaultProxy, ProxyLoop
+from standins.proxy import FaultProxy, ProxyLoop
 
 SERVICE = 'recipes'
 TREE = Path('examples/tree.yaml')
--- a/soak/trouble.py
+++ b/soak/trouble.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 
 from standins.fleet import FleetError
+from standins.proxy import Mode
 
 from .fleet import SoakFleet
-from .proxy import Mode
 
 PAUSE_SECONDS = (0.1, 1.2)
 LASTS_SECONDS = (0.3, 3.5)
--- a/standins/standins/engine.py
+++ b/standins/standins/engine.py
@@ -8,6 +8,7 @@
 import argparse
 import hashlib
 import json
+import os
 import threading
 import time
 from collections import OrderedDict
@@ -22,13 +23,17 @@
 
 @dataclass(frozen=True)
 class EngineFaults:
-    """What can go wrong; times in seconds."""
+    """What can go wrong; times in seconds.
+
+    A request whose last message is `ends_on` ends the whole process.
+    """
 
     first_token_seconds: float = 0.0
     token_seconds: float = 0.005
     refuse: bool = False
     fail_500: bool = False
     die_before_first: bool = False
+    ends_on: str = ''
     die_after_tokens: int = -1
     end_without_done: bool = False
     wrong_id: str = ''
@@ -102,6 +107,8 @@
     cached_tokens: int
     row: LedgerRow
     offset: int = 0
+    #: What the last message says.
+    asked: str = ''
 
     def event(self, word: str) -> bytes:
         """One token as a server-sent event."""
@@ -181,6 +188,8 @@
             self.send_json(500, {'error': {'message': 'the engine broke'}})
             return
         time.sleep(faults.first_token_seconds)
+        if faults.ends_on and job.asked == faults.ends_on:
+            os._exit(1)
         if faults.die_before_first:
             job.row.state = 'broken'
             self.hang_up()
@@ -303,14 +312,15 @@
                 request.get('cache_salt', ''), request.get('messages', [])
             )
         count = request.get('max_tokens') or request.get('max_completion_tokens') or DEFAULT_TOKENS
-        said = json.dumps(request.get('messages', [])[-1:])
+        last = request.get('messages', [])[-1:]
+        said = json.dumps(last)
         seed = hashlib.sha256(said.encode()).hexdigest()[:6]
         words = [f'{seed}-{number} ' for number in range(count)]
         answer_id = faults.wrong_id or request_id
         offset = int(headers.get('X-Resume-Offset') or 0)
-        return Job(
-            request_id, answer_id, request.get('model', ''), words, prompt, cached, row, offset
-        )
+        asked = str(last[0].get('content', '')) if last else ''
+        model = request.get('model', '')
+        return Job(request_id, answer_id, model, words, prompt, cached, row, offset, asked)
 
 
 def main() -> None:
--- a/standins/standins/fleet.py
+++ b/standins/standins/fleet.py
@@ -4,6 +4,7 @@
 it also ends, by process id.
 """
 
+import fcntl
 import os
 import random
 import signal
@@ -13,7 +14,9 @@
 import tempfile
 import time
 from dataclasses import dataclass, field
+from functools import cache
 from pathlib import Path
+from typing import IO
 
 import urllib3
 import yaml
@@ -24,6 +27,8 @@
 STOP_SECONDS = 15.0
 POLL_SECONDS = 0.05
 PORTS = (15_000, 32_000)
+#: Two sets beside each other took a port from one another between its choice and its use.
+RESERVATIONS = Path(tempfile.gettempdir()) / 'seamhold-ports'
 
 _chance = random.Random()
 _given: set[int] = set()
@@ -37,11 +42,12 @@
     """A port that nobody listens on now.
 
     It lies below the range that outgoing connections use, so that none of
-    them takes it before its process listens, and is given only once.
+    them takes it before its process listens, and is given only once: to this
+    process, of all that ask here.
     """
     while True:
         port = _chance.randrange(*PORTS)
-        if port in _given:
+        if port in _given or not _reserve(port):
             continue
         with socket.socket() as probe:
             try:
@@ -52,6 +58,21 @@
         return port
 
 
+def _reserve(port: int) -> bool:
+    """Whether the port is this process's until it ends: a lock on a byte of a file of all."""
+    try:
+        fcntl.lockf(_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
+@cache
+def _reservations() -> IO:
+    """The file, open for as long as this process lives: closing it would free all."""
+    return RESERVATIONS.open('w')
+
+
 def wait_until(condition, seconds: float = START_SECONDS, what: str = 'condition') -> None:
     """Poll until `condition()` is true; FleetError after `seconds`."""
     ends = time.monotonic() + seconds
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,14 +2,17 @@
 
 import json
 import socket
+import subprocess
+import sys
 import time
 
 import testtools
 
 from soak.callers import Seen
 from soak.promises import check, expected_text
-from soak.proxy import FaultProxy, Mode, ProxyLoop
 from soak.trouble import Trouble
+from standins import fleet
+from standins.proxy import FaultProxy, Mode, ProxyLoop
 
 
 def seen(**changes) -> Seen:
@@ -106,3 +109,24 @@
     def test_a_reset_breaks_what_is_open(self):
         self.proxy.set_mode(Mode.RESET)
         self.assertRaises(ConnectionResetError, self.client.recv, 10)
+
+
+class TestPorts(testtools.TestCase):
+    def test_a_port_that_another_process_was_given_is_not_given(self):
+        # Two soaks beside each other: the servers of one did not start, "address already in
+        # use", and all its calls failed.
+        (port,) = self.ports_of_another(1)
+        chances = iter([port, port + 1 if port + 1 < fleet.PORTS[1] else port - 1])
+        self.patch(fleet._chance, 'randrange', lambda *_: next(chances))
+        self.assertNotEqual(port, fleet.free_port())
+
+    def ports_of_another(self, count: int) -> list[int]:
+        """Ports that a process was given which lives until the test ends."""
+        program = (
+            'import sys; from standins.fleet import free_port\n'
+            f'print(*[free_port() for _ in range({count})], flush=True); sys.stdin.read()'
+        )
+        pipes = {'stdin': subprocess.PIPE, 'stdout': subprocess.PIPE, 'text': True}
+        other = subprocess.Popen([sys.executable, '-c', program], **pipes)
+        self.addCleanup(other.communicate)
+        return [int(word) for word in other.stdout.readline().split()]
