--- a/packages/placement/seamhold_placement/bound.py
+++ b/packages/placement/seamhold_placement/bound.py
@@ -10,6 +10,9 @@
 stays within `floor_requests` and `floor_tokens` is never over its bound, and
 where no engine is within it the least loaded one that has a free slot is
 taken: only a full fleet refuses.
+
+Boxes that decide beside each other divide the last part of an engine's bound by the calls
+that each has in the service.
 """
 
 import math
@@ -23,8 +26,10 @@
 #: What a call to another failure domain costs, in calls of load: what is known
 #: of the load is not exact to less.
 FAR_CALLS = 1
-#: However many engines leave, the bound is not below this multiple of the mean of those
-#: that may get work, which has to go to these.
+#: The last part of an engine's bound, which boxes divide between them.
+DIVIDED_PART = 0.2
+#: However many engines are up and get no work, the bound is not below this multiple of the
+#: mean of those that may get work, which has to go to these.
 LEAST_MULTIPLE = 1.1
 
 
@@ -45,7 +50,7 @@
     `untold` is what other boxes may have sent there since: it counts for the bound, and
     not for the slots, or an engine would look full of calls that nobody saw.  `holds`
     tells that it has read what the call shares, `near` that it is in the box's failure
-    domain.
+    domain, `own` how many calls this box has there.
     """
 
     name: str
@@ -55,6 +60,7 @@
     holds: bool = False
     near: bool = False
     untold: Work = NO_WORK
+    own: int = 0
 
     @property
     def expected(self) -> Work:
@@ -63,12 +69,17 @@
 
 
 class Totals(Struct, frozen=True):
-    """Sums over the engines of a service that may get work, and over those that leave."""
+    """Sums over the engines of a service that may get work, and over those that are up and
+    get none: they leave, or are avoided since calls failed there.
+
+    `own` are this box's calls on engines that may get work.
+    """
 
     weight: float
     load: Work
-    leaving_weight: float = 0.0
-    leaving_load: Work = NO_WORK
+    idle_weight: float = 0.0
+    idle_load: Work = NO_WORK
+    own: int = 0
 
 
 class Choice(Struct, frozen=True):
@@ -84,11 +95,15 @@
 
 
 class _Bound(Struct, frozen=True):
-    """What an engine of weight one may carry; the floors as they are."""
+    """What an engine of weight one may carry; the floors as they are.
+
+    `own_share` is this box's part of all calls of the service.
+    """
 
     calls: float
     tokens: float
     policy: BoundPolicy
+    own_share: float
 
     def fits(self, engine: Candidate, work: Work) -> bool:
         """Whether the engine stays within its bound and slots with `work`."""
@@ -100,7 +115,19 @@
         # Tokens are rounded up like calls, or whole calls would not fit.
         tokens = self.tokens * engine.weight * calls_bound / calls
         tokens_bound = max(tokens, self.policy.floor_tokens, work.tokens)
-        return after.requests <= calls_bound and after.tokens <= tokens_bound
+        if after.requests > calls_bound or after.tokens > tokens_bound:
+            return False
+        return after.requests <= (1 - DIVIDED_PART) * calls or self._is_own_part(engine, work)
+
+    def _is_own_part(self, engine: Candidate, work: Work) -> bool:
+        """Whether this box stays within its part of the engine's bound.
+
+        Near the bound what boxes know is late by more calls than are left, and all of them
+        would take the same room.  Its own calls each box knows at once: where none has more
+        than its part there, all together have no more than the bound.
+        """
+        part = round(self.calls * engine.weight * self.own_share)
+        return engine.own + work.requests <= max(part, self.policy.floor_requests)
 
     def nearness(self, engine: Candidate) -> float:
         """How near the engine is to its bound, in the tighter of the two."""
@@ -113,21 +140,23 @@
 def _bound(totals: Totals, work: Work, policy: BoundPolicy) -> _Bound:
     """What an engine may carry with `work`, of the mean that is promised.
 
-    The promise counts engines that leave until they are gone.  They empty, so the mean of
+    The promise counts engines that leave until they are gone, and those that are avoided
+    while they live.  They empty, so the mean of
     all falls below that of those that may get work, and a bound taken of these is above
     what is promised.  Up to 5 of 14 engines leave at once, 118 calls a second: 64 of
     597 calls above in five seconds, 14 so (routers alone, one seed).
     """
     after = totals.load + work
-    calls = _per_weight(after.requests, totals, totals.leaving_load.requests, policy)
-    tokens = _per_weight(after.tokens, totals, totals.leaving_load.tokens, policy)
-    return _Bound(calls, tokens, policy)
+    calls = _per_weight(after.requests, totals, totals.idle_load.requests, policy)
+    tokens = _per_weight(after.tokens, totals, totals.idle_load.tokens, policy)
+    own_share = min(1.0, (totals.own + work.requests) / after.requests)
+    return _Bound(calls, tokens, policy, own_share)
 
 
-def _per_weight(load: float, totals: Totals, leaving: float, policy: BoundPolicy) -> float:
+def _per_weight(load: float, totals: Totals, idle: float, policy: BoundPolicy) -> float:
     """The bound for a weight of one; `load` is on engines that may get work."""
     mean = load / totals.weight
-    mean_of_all = (load + leaving) / (totals.weight + totals.leaving_weight)
+    mean_of_all = (load + idle) / (totals.weight + totals.idle_weight)
     least = min(policy.admit_multiple, LEAST_MULTIPLE)
     return max(policy.admit_multiple * min(mean, mean_of_all), least * mean)
 
--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -78,6 +78,8 @@
         self._group_of: dict[str, str] = {}
         self._group_known: dict[str, Work] = defaultdict(lambda: NO_WORK)
         self._group_untold: dict[str, Work] = defaultdict(lambda: NO_WORK)
+        #: This box's own calls.
+        self._group_own: dict[str, int] = defaultdict(int)
 
     @property
     def peer_growth(self) -> float:
@@ -93,7 +95,7 @@
 
     def start(self, engine: str, work: Work, now: float = 0.0) -> None:
         """This box sends `work` to `engine`."""
-        self._own[engine] = self._own.get(engine, NO_WORK) + work
+        self._shift_own(engine, work)
         self._unanswered.sent(engine, now)
         self._shift_known(engine, work)
         self._note_change(engine, work, now)
@@ -110,10 +112,7 @@
         """Work that this box sent to `engine` has ended; `sent_at` if it was not answered."""
         if sent_at is not None:
             self._unanswered.ended(engine, sent_at)
-        left = self._own.get(engine, NO_WORK) - work
-        self._own[engine] = left
-        if left.requests <= 0:
-            del self._own[engine]
+        self._shift_own(engine, NO_WORK - work)
         # A reading may have told already that it ended.
         if engine not in self._readings or self._known.get(engine, NO_WORK).requests > 0:
             self._shift_known(engine, NO_WORK - work)
@@ -122,6 +121,17 @@
         if engine in self._unsent and engine not in self._readings:
             self._shift_unsent(engine, NO_WORK - work)
 
+    def _shift_own(self, engine: str, change: Work) -> None:
+        before = self._own.get(engine, NO_WORK)
+        after = before + change
+        if after.requests > 0:
+            self._own[engine] = after
+        else:
+            self._own.pop(engine, None)
+        group = self._group_of.get(engine)
+        if group is not None:
+            self._group_own[group] += max(0, after.requests) - before.requests
+
     def _note_change(self, engine: str, work: Work, now: float) -> None:
         changes = self._changes[engine]
         changes.append(_Change(now, work))
@@ -217,12 +227,15 @@
         """Name the engines whose sums `total` gives for `group`."""
         self._group_of = {name: held for name, held in self._group_of.items() if held != group}
         known = untold = NO_WORK
+        own = 0
         for engine in engines:
             self._group_of[engine] = group
+            own += self.own_calls(engine)
             known += self.known(engine)
             untold += self.untold(engine)
         self._group_known[group] = known
         self._group_untold[group] = untold
+        self._group_own[group] = own
 
     def _set_known(self, engine: str, work: Work) -> None:
         change = work - self._known.get(engine, NO_WORK)
@@ -282,6 +295,14 @@
         """The work on `engine` by what was told, and this box's own since."""
         return self._known.get(engine, NO_WORK)
 
+    def own_calls(self, engine: str) -> int:
+        """How many calls this box has at `engine`."""
+        return self._own.get(engine, NO_WORK).requests
+
+    def own_total(self, group: str) -> int:
+        """How many calls this box has at the engines of `group`."""
+        return self._group_own[group]
+
     def untold(self, engine: str) -> Work:
         """What peers are taken to have sent to `engine` since the last word of it."""
         return self._untold.get(engine, NO_WORK)
--- /dev/null
+++ b/tests/test_avoided_engines.py
@@ -0,0 +1,41 @@
+"""Which engines count for the bound though they get no work."""
+
+import testtools
+
+from seamhold_membership import EngineView
+from seamhold_messages.fleet import Engine
+
+SERVICE = 'llm'
+
+
+class TestAvoidedEngines(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.view = EngineView()
+        self.view.set_list([Engine(name, SERVICE, '', incarnation='1') for name in 'abc'], 0.0)
+
+    def avoided(self) -> set[str]:
+        return set(self.view.serving(SERVICE, 0.0).idle)
+
+    def test_one_that_fails_more_than_its_siblings_lives(self):
+        self.view.eject('a', 0.0)
+        self.assertEqual({'a'}, self.avoided())
+
+    def test_one_that_lost_answers_lives(self):
+        self.view.failed('a', 0.0, 0.5)
+        self.view.failed('a', 0.0, 0.5)
+        self.assertEqual({'a'}, self.avoided())
+
+    def test_one_that_refuses_connections_does_not(self):
+        self.view.failed('a', 0.0)
+        self.assertEqual(set(), self.avoided())
+
+    def test_those_that_serve_since_nobody_else_does_are_not_avoided(self):
+        for name in 'abc':
+            self.view.eject(name, 0.0)
+        self.assertEqual(set(), self.avoided())
+
+    def test_it_is_served_again_once_it_answers(self):
+        self.view.failed('a', 0.0)
+        self.view.answered('a')
+        self.assertEqual(set('abc'), set(self.view.serving(SERVICE, 0.0).engines))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -110,6 +110,41 @@
         self.assertLessEqual(tokens_after, max(tokens, bound) + 1e-6)
 
 
+class TestDividedPart(testtools.TestCase):
+    """How much of an engine's bound a box takes that has a quarter of all calls.
+
+    Users saw engines above the promise while others were avoided or left: what boxes knew of
+    the load was late by five to ten calls, where the bound left three to six.
+    """
+
+    def first_taken(self, load: int, own: int) -> str:
+        engines = [Candidate('first', Work(load, load), 64, own=own)]
+        engines += [Candidate(f'e{number}', Work(20, 20), 64, own=5) for number in range(3)]
+        totals = Totals(4.0, Work(60 + load, 60 + load), own=15 + own)
+        return choose_with_totals(engines, totals, Work(1, 1), BoundPolicy(1.5, 3)).name
+
+    def test_its_own_part_near_the_bound(self):
+        self.assertEqual('first', self.first_taken(26, 6))
+        self.assertNotEqual('first', self.first_taken(26, 9))
+
+    def test_any_part_where_much_room_is_left(self):
+        self.assertEqual('first', self.first_taken(18, 16))
+
+    def test_a_few_calls_at_any_time(self):
+        engines = [Candidate('first', Work(4, 4), 64, own=1), Candidate('other', Work(1, 1), 64)]
+        totals = Totals(2.0, Work(5, 5), own=1)
+        choice = choose_with_totals(engines, totals, Work(1, 1), BoundPolicy(1.5, 3))
+        self.assertEqual('first', choice.name)
+
+    def test_all_of_it_for_one_box(self):
+        engines = [Candidate('first', Work(26, 26), 64, own=26)]
+        engines += [Candidate(f'e{number}', Work(20, 20), 64, own=20) for number in range(3)]
+        totals = Totals(4.0, Work(86, 86), own=86)
+        self.assertEqual(
+            'first', choose_with_totals(engines, totals, Work(1, 1), BoundPolicy(1.5, 3)).name
+        )
+
+
 class TestEquals(testtools.TestCase):
     """Which engines take the calls of a chat while no box knows of the others' calls."""
 
@@ -205,3 +240,5 @@
                 table.set_group('s', 'abc')
             total = sum((table.estimate(name) for name in 'abc'), Work())
             self.assertEqual(total, table.total('s'))
+            own = sum(table.own_calls(name) for name in 'abc')
+            self.assertEqual(own, table.own_total('s'))
