--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -80,6 +80,27 @@
         self.assertTrue(all(share >= 0 for share in shares.values()))
 
 
+    @given(st.integers(0, 10_000))
+    def test_boxes_that_believe_more_of_others_take_no_more_than_the_limit(self, seed):
+        # A box believes of another at least what that one counts on for itself.
+        chance = random.Random(seed)
+        for _ in range(100):
+            limit = chance.randint(1, 40)
+            demands = {name: chance.uniform(0, 10) for name in 'abcdef'[: chance.randint(2, 6)]}
+            total = 0
+            for me in demands:
+                believed = {
+                    name: own + chance.choice((0, chance.uniform(0, 0.5)))
+                    for name, own in demands.items()
+                }
+                total += split_limit(limit, believed | {me: demands[me]})[me]
+            self.assertLessEqual(total, limit)
+
+
+#: Seeds of rushes that passed the limit by one.
+RUSHES = (1476, 1761, 1835, 2232, 2375)
+
+
 class TestWorkspaceLimits(testtools.TestCase):
     @given(st.integers(0, 10_000), st.integers(1, 40), st.integers(2, 6), st.sampled_from((0, 0.3)))
     def test_boxes_together_never_pass_the_limit(self, seed, limit, count, lost):
@@ -96,6 +117,27 @@
                     fleet.end(name)
             self.assertLessEqual(fleet.total, limit)
 
+    def test_a_rush_that_begins_everywhere_stays_within_the_limit(self):
+        # 7 calls of a workspace ran where its limit is 6.  Each box rounded its share among
+        # demands of its own hearing, and two rounded up for the same call.  Of 6,000 such
+        # rushes eight passed the limit.
+        for seed in RUSHES:
+            chance = random.Random(seed)
+            limit = chance.choice((5, 6, 7, 8, 10))
+            fleet = Fleet(chance.choice((3, 3, 4, 5)), WorkspaceCaps(limit), seed)
+            fleet.next_tell = {name: chance.uniform(0, 0.1) for name in fleet.names}
+            self.rush(fleet, chance)
+            self.assertLessEqual(fleet.total, limit, seed)
+
+    def rush(self, fleet: Fleet, chance: random.Random) -> None:
+        for _ in range(40):
+            fleet.now += 0.05
+            for name in fleet.names:
+                if fleet.now >= fleet.next_tell[name]:
+                    fleet.tell(name)
+                    fleet.next_tell[name] = fleet.now + chance.uniform(0.05, 0.25)
+            fleet.ask(chance.choice(fleet.names))
+
     def test_a_limit_can_be_used_whole_by_one_box(self):
         fleet = Fleet(4, WorkspaceCaps(requests_in_flight=20))
         for _ in range(200):
