--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -79,7 +79,6 @@
         self.assertEqual(limit, sum(shares.values()))
         self.assertTrue(all(share >= 0 for share in shares.values()))
 
-
     @given(st.integers(0, 10_000))
     def test_boxes_that_believe_more_of_others_take_no_more_than_the_limit(self, seed):
         # A box believes of another at least what that one counts on for itself.
