--- a/packages/limits/seamhold_limits/share.py
+++ b/packages/limits/seamhold_limits/share.py
@@ -11,6 +11,14 @@
 IDLE_FRACTION = 0.02
 
 
+class Demands(Struct, frozen=True):
+    """Demands for one limit: a box's own, those that others told, and boxes that told none."""
+
+    own: float
+    told: tuple[float, ...]
+    idle_boxes: int
+
+
 class _NextCall(Struct, frozen=True, order=True):
     """A box's next call; the least of all is given first."""
 
@@ -29,7 +37,7 @@
     """
     if not demands:
         return {}
-    idle = max(IDLE_DEMAND, limit * IDLE_FRACTION)
+    idle = _idle_demand(limit)
     wanted = {box: demand + idle for box, demand in demands.items()}
     total = sum(wanted.values())
     # Rounded so they are at most the limit together, whatever is rounded up.
@@ -39,6 +47,26 @@
     return shares
 
 
+def holds_within_share(limit: int, held: int, demands: Demands) -> bool:
+    """Whether a box's share is `held` calls at least, without working out the others'.
+
+    Where calls rank alike the box is taken to come last.
+    """
+    idle = _idle_demand(limit)
+    last = (demands.own + idle) / (held - 0.5)
+    before = sum(_calls_before(last, demand + idle) for demand in demands.told)
+    return held + before + demands.idle_boxes * _calls_before(last, idle) <= limit
+
+
+def _calls_before(rank: float, wanted: float) -> int:
+    """How many calls of a box come before one of that rank."""
+    return math.floor(wanted / rank + 0.5)
+
+
+def _idle_demand(limit: int) -> float:
+    return max(IDLE_DEMAND, limit * IDLE_FRACTION)
+
+
 def _hand_out(calls: int, wanted: dict[str, float], shares: dict[str, int]) -> None:
     """Give one call after the other to the box whose next call ranks first."""
     ranks = [_next_call(box, wanted, shares) for box in shares]
--- a/packages/limits/seamhold_limits/workspaces.py
+++ b/packages/limits/seamhold_limits/workspaces.py
@@ -2,7 +2,8 @@
 
 A box admits a call within its own share of the limit, which follows demand
 (see `grants`), as long as no peer holds more than its share: a share moves
-before the work that was admitted under it has ended.
+before the work that was admitted under it has ended.  How much that is each
+box tells itself: another may believe its share to be larger than it is.
 """
 
 from collections import defaultdict
@@ -14,7 +15,7 @@
 
 from .grants import DemandGrants
 from .rate import TokenBucket
-from .share import split_limit
+from .share import Demands, holds_within_share, split_limit
 
 #: How fast remembered demand fades, per second.
 DEMAND_HALF_LIFE = 1.0
@@ -39,6 +40,20 @@
 NO_CAPS = WorkspaceCaps()
 
 
+class _Held(Struct, frozen=True):
+    """What a peer told of its work, and of the part that is above its share."""
+
+    work: int = 0
+    over: int = 0
+
+    def at_most(self, share: int) -> int:
+        """What it may hold, by this box's view of its share."""
+        return max(self.work, share + self.over)
+
+
+NOTHING_HELD = _Held()
+
+
 class _Space(Struct):
     work: Work = NO_WORK
     refused: float = 0.0
@@ -96,9 +111,30 @@
                 continue
             demand = space.demand(now)
             if demand > IDLE_TELL or space.work.requests:
-                found[name] = Usage(space.work, demand)
+                found[name] = Usage(space.work, demand, self._over(name, space, now))
         return found
 
+    def _over(self, name: str, space: _Space, now: float) -> Work:
+        """The part of a workspace's work that is above this box's shares."""
+        if space.work == NO_WORK:
+            return NO_WORK
+        caps = self._caps_of(name)
+        return Work(
+            self._above(name, caps.requests_in_flight, space.work.requests, now),
+            self._above(name, caps.tokens_in_flight, space.work.tokens, now),
+        )
+
+    def _above(self, name: str, limit: int | None, held: int, now: float) -> int:
+        if not limit or not held or holds_within_share(limit, held, self._demands(name, now)):
+            return 0
+        return max(0, held - self._shares(name, limit, now)[self.me])
+
+    def _demands(self, name: str, now: float) -> Demands:
+        space = self._spaces[name]
+        told = tuple(usage.demand for usage in space.peers.values())
+        own = self._grants.demand(name, space.demand(now))
+        return Demands(own, told, len(self._boxes) - 1 - len(told))
+
     def admit(self, workspace: str, work: Work, now: float) -> None:
         """Count `work` as in flight, or raise WorkspaceLimit."""
         space = self._spaces[workspace]
@@ -131,7 +167,9 @@
         limit = self._caps_of(name).requests_in_flight
         if limit is None:
             return
-        held = {box: told.work.requests for box, told in space.peers.items()}
+        held = {
+            box: _Held(told.work.requests, told.over.requests) for box, told in space.peers.items()
+        }
         after = space.work.requests + work.requests
         if not self._fits(name, limit, after, work.requests, held, now):
             raise WorkspaceLimit(f'at {limit} calls in flight', IN_FLIGHT_RETRY_SECONDS)
@@ -140,20 +178,22 @@
         limit = self._caps_of(name).tokens_in_flight
         if limit is None:
             return
-        held = {box: told.work.tokens for box, told in space.peers.items()}
+        held = {box: _Held(told.work.tokens, told.over.tokens) for box, told in space.peers.items()}
         after = space.work.tokens + work.tokens
         if not self._fits(name, limit, after, work.tokens, held, now):
             raise WorkspaceLimit(f'at {limit} tokens in flight', IN_FLIGHT_RETRY_SECONDS)
 
     def _fits(
-        self, name: str, limit: int, after: int, asked: int, held: dict[str, int], now: float
+        self, name: str, limit: int, after: int, asked: int, held: dict[str, _Held], now: float
     ) -> bool:
         """Whether this box may hold `after`, while peers hold `held`."""
         if asked > limit:
             # A call larger than the whole limit may still run alone.
-            return after == asked and not any(held.values())
+            return after == asked and not any(told.work for told in held.values())
         shares = self._shares(name, limit, now)
-        others = sum(max(held.get(box, 0), shares[box]) for box in shares if box != self.me)
+        others = sum(
+            held.get(box, NOTHING_HELD).at_most(shares[box]) for box in shares if box != self.me
+        )
         return after <= min(shares[self.me], limit - others)
 
     def _shares(self, name: str, limit: int, now: float) -> dict[str, int]:
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -30,10 +30,15 @@
 
 
 class Usage(Struct, frozen=True):
-    """One workspace on one box: work in flight and the calls it wants."""
+    """One workspace on one box: work in flight and the calls it wants.
+
+    `over` is the part of the work that is above the box's share by now: shares move before
+    the work that was admitted under them has ended.
+    """
 
     work: Work = NO_WORK
     demand: float = 0.0
+    over: Work = NO_WORK
 
 
 class Call(Struct, frozen=True):
--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -5,6 +5,7 @@
 yet is left out: the entry comes again with the next full digest.
 """
 
+import math
 import struct
 
 import msgspec
@@ -13,7 +14,7 @@
 
 from seamhold_membership import Digest, Event, EventKind
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import Usage, Work
+from seamhold_messages.work import NO_WORK, Usage, Work
 
 from .names import NameTable, pack_names, unpack
 from .news_codec import (
@@ -61,6 +62,9 @@
     requests: list[int]
     tokens: list[int]
     demand_tenths: list[int]
+    #: Work above the sender's share; None where there is none, as mostly.
+    over_requests: list[int] | None = None
+    over_tokens: list[int] | None = None
 
 
 class DigestPart(Struct, frozen=True, array_like=True):
@@ -161,11 +165,15 @@
     if not usage:
         return None
     told = usage.values()
+    over = any(one.over != NO_WORK for one in told)
     return UsageColumns(
         pack_names(usage),
         [one.work.requests for one in told],
         [one.work.tokens for one in told],
-        [round(one.demand * TENTHS) for one in told],
+        # Not down: a box counts on no more than others believe that it asked for.
+        [math.ceil(one.demand * TENTHS) for one in told],
+        [one.over.requests for one in told] if over else None,
+        [one.over.tokens for one in told] if over else None,
     )
 
 
@@ -243,10 +251,12 @@
         if part is None:
             return {}
         keys = unpack(part.workspaces)
-        rows = zip(keys, part.requests, part.tokens, part.demand_tenths, strict=False)
+        none = [0] * len(keys)
+        over = map(Work, part.over_requests or none, part.over_tokens or none)
+        rows = zip(keys, part.requests, part.tokens, part.demand_tenths, over, strict=False)
         return {
-            name: Usage(Work(requests, tokens), tenths / TENTHS)
-            for key, requests, tokens, tenths in rows
+            name: Usage(Work(requests, tokens), tenths / TENTHS, above)
+            for key, requests, tokens, tenths, above in rows
             if (name := self._names.name(key))
         }
 
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -111,6 +111,18 @@
         small = EncodedDigest(replace(whole, held=held[:3], events=[]))
         self.assertEqual(held[:3], small.digest.held)
 
+    def test_a_peer_believes_no_less_of_what_a_box_asks_for_and_holds(self):
+        # Demand travelled rounded to the nearest tenth: a box counted on 2.04 calls for its
+        # share while its peers made room for 2.0.
+        names = NameTable()
+        names.add(['w', 'v'])
+        usage = {'w': Usage(Work(2, 200), 2.04, Work(1, 150)), 'v': Usage(Work(1, 9), 1.0)}
+        data = EncodedDigest(Digest('box', '1', usage=usage)).data
+        heard = DigestReader(names).read(data).usage
+        self.assertAlmostEqual(2.1, heard['w'].demand)
+        self.assertEqual(Work(1, 150), heard['w'].over)
+        self.assertEqual(usage['v'], heard['v'])
+
     def test_what_is_no_digest_is_not_read(self):
         reader = DigestReader(NameTable())
         for data in (b'', b'\xff\xff\xff', b'\x0a\xff', bytes(50)):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from seamhold_limits import TokenBucket, WaitQueue, WorkspaceCaps, WorkspaceLimits, split_limit
+from seamhold_limits.share import Demands, holds_within_share
 from seamhold_messages.errors import WorkspaceLimit
 from seamhold_messages.work import Call, Priority, Work
 
@@ -79,6 +80,17 @@
         self.assertEqual(limit, sum(shares.values()))
         self.assertTrue(all(share >= 0 for share in shares.values()))
 
+    @given(st.integers(0, 10_000))
+    def test_whether_a_share_is_held_takes_no_other_shares(self, seed):
+        chance = random.Random(seed)
+        limit, idle = chance.randint(1, 40), chance.randint(0, 4)
+        own, *told = [chance.uniform(0, 10) for _ in range(chance.randint(1, 6))]
+        demands = dict(enumerate([own, *told, *[0.0] * idle]))
+        share = split_limit(limit, {str(box): demand for box, demand in demands.items()})['0']
+        found = Demands(own, tuple(told), idle)
+        self.assertTrue(share == 0 or holds_within_share(limit, share, found))
+        self.assertFalse(holds_within_share(limit, share + 1, found))
+
     @given(st.integers(0, 10_000))
     def test_boxes_that_believe_more_of_others_take_no_more_than_the_limit(self, seed):
         # A box believes of another at least what that one counts on for itself.
@@ -97,7 +109,7 @@
 
 
 #: Seeds of rushes that passed the limit by one.
-RUSHES = (1476, 1761, 1835, 2232, 2375)
+RUSHES = (1476, 1761, 1835, 2232, 2375, 18, 1223, 1590, 2199, 5433)
 
 
 class TestWorkspaceLimits(testtools.TestCase):
