--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,15 +1,23 @@
 """Requests that end engines: what counts against one, who may run, and what boxes agree on."""
 
+import asyncio
+import random
+import threading
+
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
 from seamhold.case_store import from_object, to_object
+from seamhold.decider import Decider
+from seamhold.decisions import WantReport
+from seamhold.metrics import Metrics
+from seamhold.peer_pulls import PeerPulls
 from seamhold_membership import Digest
 from seamhold_messages.fleet import Engine, Phase
 from seamhold_messages.hashing import hash64
-from seamhold_peers import DigestReader, NameTable, encode_digest
+from seamhold_peers import CasesPage, DigestReader, NameTable, encode_digest
 from seamhold_quarantine import (
     EndReport,
     EngineEnd,
@@ -45,6 +53,8 @@
     return quarantine
 
 
+WAIT_SECONDS = 5.0
+PULL_SECONDS = 0.05
 PROVEN = (report(1), report(2), report(3, on_trial=True))
 
 
@@ -191,6 +201,48 @@
         self.assertEqual(77, DigestReader(NameTable()).read(encode_digest(digest)).cases_print)
 
 
+class PeerThatKnows:
+    """A peer that answers at once what it knows."""
+
+    async def pull_cases(self) -> CasesPage:
+        return CasesPage(after(*PROVEN).shared(0.0), complete=True)
+
+
+class TestWordsOfPeers(testtools.TestCase):
+    """A box may go on by what a peer told only when its decider has taken that in."""
+
+    def setUp(self):
+        super().setUp()
+        self.decider = Decider(Router('box-1', 'a'), lambda: 0.0)
+        self.decider.cases.known.clear()
+        self.begun, self.goes_on = threading.Event(), threading.Event()
+        self.decider.handlers[WantReport] = self.take_long
+        self.pulls = PeerPulls(self.decider, None, Metrics(), random.Random(1), lambda: True)
+
+    def take_long(self, _) -> None:
+        self.begun.set()
+        self.goes_on.wait(WAIT_SECONDS)
+
+    def test_a_pull_ends_when_they_are_known(self):
+        # A pull ended while what it brought waited for another thread's turn at the decider: a
+        # copy that waited for the pull could still run.
+        at_work = threading.Thread(target=self.decider.ask, args=(WantReport(),))
+        at_work.start()
+        self.assertTrue(self.begun.wait(WAIT_SECONDS))
+        asyncio.run(self.pull_meanwhile())
+        at_work.join()
+        self.assertTrue(self.decider.cases.known.is_set())
+        self.assertIn(ASKED.scope, self.decider.cases.scopes)
+
+    async def pull_meanwhile(self) -> None:
+        pull = asyncio.create_task(self.pulls.take_cases(PeerThatKnows()))
+        await asyncio.sleep(PULL_SECONDS)
+        ended_early = pull.done() or self.decider.cases.known.is_set()
+        self.goes_on.set()
+        await pull
+        self.assertFalse(ended_early)
+
+
 class TestRecentRuns(testtools.TestCase):
     def test_one_that_ended_well_just_before_is_excused(self):
         runs = RecentRuns()
