--- a/packages/router/seamhold/case_store.py
+++ b/packages/router/seamhold/case_store.py
@@ -187,7 +187,7 @@
             except (ValueError, msgspec.ValidationError) as error:
                 self._log.warning('case.unreadable', digest=item.name, detail=str(error))
         if cases:
-            self._decider.send(HearCases(tuple(cases)))
+            self._decider.ask(HearCases(tuple(cases))).result()
             self._log.info('cases.read', cases=len(cases))
 
     def _read_one(self, request: str) -> None:
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -128,7 +128,7 @@
     """Asks for all cases that boxes share."""
 
 
-class HearCases(Struct):
+class HearCases(Ask):
     """A peer or the store told of requests under which engines ended."""
 
     cases: tuple[Case, ...]
--- a/packages/router/seamhold/peer_pulls.py
+++ b/packages/router/seamhold/peer_pulls.py
@@ -124,7 +124,8 @@
         """Take what a peer knows of requests that end engines; raises one of BROKEN."""
         page = await client.pull_cases()
         self._metrics.count('cases.pulls')
-        self._decider.send(HearCases(page.cases))
+        # Whoever waits for the pull goes on by what it brought.
+        await answer_of(self._decider.ask(HearCases(page.cases)))
         if page.complete:
             self._decider.cases.known.set()
 
--- a/packages/router/seamhold/trials.py
+++ b/packages/router/seamhold/trials.py
@@ -29,6 +29,7 @@
     Verdict,
 )
 
+from .background import answer_of
 from .case_store import CaseStore
 from .context import Environment
 from .decider import Decider
@@ -196,7 +197,7 @@
         """
         known = await client.engine_ended(report)
         if known.case is not None:
-            self._decider.send(HearCases((known.case,)))
+            await answer_of(self._decider.ask(HearCases((known.case,))))
         return known.ends
 
     def over(self, request: str, run: str, well: bool) -> None:
