--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -8,7 +8,7 @@
 import random
 import threading
 from collections.abc import Coroutine
-from concurrent.futures import Future, wait
+from concurrent.futures import Future
 
 from seamhold_membership import ByteBudget, Digest
 from seamhold_peers import (
@@ -23,6 +23,7 @@
 from seamhold_quarantine import Case
 
 from .background import BackgroundWork, answer_of
+from .catching_up import CatchingUp
 from .config import BoxConfig, split_address
 from .context import Environment
 from .decider import Decider
@@ -45,11 +46,6 @@
 #: How soon an exception or new settings are told.
 URGENT_SECONDS = 0.05
 STOP_SECONDS = 5.0
-#: A box that has not read its roster for so long was held up: its process was stopped, or its
-#: machine suspended.  In seconds.
-HELD_UP_SECONDS = 1.0
-#: How long one that was held up waits for what peers know of requests that end engines.
-CATCH_UP_SECONDS = 0.15
 #: No digest is smaller: with less left in the budget none is made.
 DIGEST_MIN_BYTES = 60
 #: The size that a digest is taken to have at first, and over how many digests
@@ -90,12 +86,11 @@
         self.holdings = HoldingsPull(decider, metrics, chance, environment.monotonic)
         self._order = TellingOrder(chance)
         self._mean_digest_bytes = FIRST_DIGEST_BYTES
-        #: When the roster was last read, by a box that had caught up.
-        self._up_at = now
-        self._catching_up: Future | None = None
-        self._catch_up_turn = threading.Lock()
         self.loop = asyncio.new_event_loop()
         self._beside = BackgroundWork(self.loop)
+        self.catching_up = CatchingUp(
+            self.loop, self._pulls, self._clients.values, environment.monotonic, metrics
+        )
         #: Set when peers should be told at once.
         self._news = asyncio.Event()
         decider.on_news = self._wake
@@ -217,6 +212,7 @@
         for task in self._background:
             task.cancel()
         self._beside.cancel()
+        self.catching_up.cancel()
         for client in [*self._clients.values(), *self._others.values()]:
             client.close()
         self._port.close()
@@ -251,47 +247,13 @@
                 return False
         return True
 
-    # After it was held up.
-
-    def catch_up(self) -> None:
-        """Let a box that was held up hear of requests that end engines, on a request thread.
-
-        Its threads go on before it has read what peers told it meanwhile.
-        """
-        if not self._was_held_up():
-            return
-        with self._catch_up_turn:
-            if self._catching_up is None or self._catching_up.done():
-                self._catching_up = self.submit(self._hear_cases())
-            caught_up = self._catching_up
-        wait((caught_up,), CATCH_UP_SECONDS)
-
-    def _was_held_up(self) -> bool:
-        return self._environment.monotonic() - self._up_at > HELD_UP_SECONDS
-
-    async def _hear_cases(self) -> None:
-        """Ask all neighbours if this box was held up, and go on with the first answer."""
-        if self._was_held_up():
-            try:
-                async with asyncio.timeout(CATCH_UP_SECONDS):
-                    await self._first_cases()
-            except TimeoutError:
-                self._metrics.count('cases.catch_up_failed')
-        self._up_at = self._environment.monotonic()
-
-    async def _first_cases(self) -> None:
-        pulls = [self._pulls.cases_from(client) for client in self._clients.values()]
-        for answer in asyncio.as_completed([self._beside.begin(pull) for pull in pulls]):
-            if await answer:
-                return
-
     def boxes_changed(self) -> None:
         """Look at the list of boxes now and not in half a second."""
         self.submit(self._keep_roster())
 
     async def _keep_roster(self) -> None:
         """Read who is there, and connect to whom this box did not know."""
-        await self._hear_cases()
+        await self.catching_up.look()
         report = await answer_of(self._decider.ask(WantReport()))
         self.roster = report
         self.names.add(engine.name for engine in report.engines)
--- a/packages/router/seamhold/trials.py
+++ b/packages/router/seamhold/trials.py
@@ -91,7 +91,7 @@
 
     def catch_up(self) -> None:
         """Hear what others met while this box was held up, before anything runs."""
-        self._peering.catch_up()
+        self._peering.catching_up.wait()
 
     def is_watched(self, identity: RequestIdentity) -> bool:
         """Whether requests of this scope may not simply run."""
