--- a/packages/router/seamhold/catching_up.py
+++ b/packages/router/seamhold/catching_up.py
@@ -46,6 +46,7 @@
         self._up_at = clock()
         self._turn = threading.Lock()
         self._running: Future | None = None
+        self._in_vain: Future | None = None
 
     def wait(self) -> None:
         """Let a box that was held up hear its peers first; called on request threads."""
@@ -55,7 +56,9 @@
             if self._running is None or self._running.done():
                 self._running = asyncio.run_coroutine_threadsafe(self.look(), self._loop)
             running = self._running
-        wait((running,), CATCH_UP_SECONDS)
+        if running is not self._in_vain and not wait((running,), CATCH_UP_SECONDS).done:
+            # The loop itself is held up: no other call waits for the same.
+            self._in_vain = running
 
     async def look(self) -> None:
         """Ask all neighbours if this box was held up, and go on with the first answer."""
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -14,12 +14,14 @@
     CallerLeft,
     DeadlinePassed,
     Ran,
+    RequestOnTrial,
+    RequestQuarantined,
     RetryBudgetSpent,
     SeamholdError,
     error_from,
 )
 from seamhold_messages.work import Placed, Refused
-from seamhold_quarantine import SUSPECT_ENDS
+from seamhold_quarantine import SUSPECT_ENDS, TrialAsk
 
 from .budgets import RetryBudgets
 from .context import Environment
@@ -37,7 +39,7 @@
     OpenAnswer,
     StreamCheck,
 )
-from .trials import Trials
+from .trials import WAIT_SECONDS, Trials
 
 #: Slack for the decider to answer after a call's own time is up.
 DECIDER_SLACK_SECONDS = 0.2
@@ -73,11 +75,12 @@
         """Give the call's answer, or raise the failure its caller is told."""
         begun = False
         try:
-            self._permit(job)
+            self._permit(job, WAIT_SECONDS)
             placed = self._await(job, self._decider.ask(Admit(job.call)))
             job.guard.begin(self._remaining(job))
             begun = True
             self._check_time(job)
+            self._permit_still(job)
             self._budgets.first_attempt(job.call.service)
             return self._attempts(job, placed)
         except SeamholdError as error:
@@ -87,8 +90,8 @@
             self._close(job)
             raise
 
-    def _permit(self, job: Job) -> None:
-        """Let the call run if it may: as others do, or alone.
+    def _permit(self, job: Job, patience: float) -> None:
+        """Let the call run if it may, as others do or alone; waits `patience` seconds for that.
 
         Raises RequestQuarantined or RequestOnTrial: then it has not run and will not.
         """
@@ -96,13 +99,24 @@
         self._trials.catch_up()
         if not self._trials.is_watched(identity):
             return
+        seconds = self._remaining(job)
+        ask = TrialAsk(identity.digest, job.call.id, seconds)
         job.on_trial = self._trials.permit(
-            identity.digest, job.call, self._remaining(job), job.cancellation
+            ask, job.call.service, min(patience, seconds), job.cancellation
         )
         if job.on_trial:
             # Where fewest calls run fewest die with it, if it does end its engine.
             job.call = replace(job.call, sticky=False)
 
+    def _permit_still(self, job: Job) -> None:
+        """Ask again before an attempt: the call may have waited, or met engines that refuse.
+
+        Meanwhile others may have ended under copies of it.  It has a place by now and waits no
+        more, so that suspects hold no place that others could use.
+        """
+        if not job.on_trial:
+            self._permit(job, 0.0)
+
     def _told(self, job: Job, error: SeamholdError, begun: bool) -> SeamholdError:
         """The failure as the caller is told: the truth of all attempts."""
         if job.maybe_ran:
@@ -233,6 +247,11 @@
         again = Again(job.call.id, placed.engine, failure.outcome)
         found = self._await(job, self._decider.ask(again))
         self._check_time(job)
+        try:
+            self._permit_still(job)
+        except (RequestQuarantined, RequestOnTrial) as refusal:
+            # Of one that may have run the caller must not be told that it was not.
+            raise (failure.error if job.maybe_ran else refusal) from refusal
         return found
 
     def _has_ended(self, placed: Placed, failure: AttemptFailed) -> bool:
--- a/packages/router/seamhold/trials.py
+++ b/packages/router/seamhold/trials.py
@@ -13,7 +13,7 @@
 from seamhold_messages.errors import CallerLeft, RequestOnTrial, RequestQuarantined
 from seamhold_messages.fleet import Engine
 from seamhold_messages.hashing import hash64
-from seamhold_messages.work import Call, Placed
+from seamhold_messages.work import Placed
 from seamhold_peers import PeerClient
 from seamhold_peers.client import BROKEN, TRIAL_SECONDS
 from seamhold_placement.rank import owners
@@ -98,16 +98,18 @@
         scopes = self._decider.cases.scopes
         return bool(scopes) and identity.scope in scopes
 
-    def permit(self, request: str, call: Call, seconds: float, cancellation: Cancellation) -> bool:
-        """Whether a request that may run runs alone, for at most `seconds`.
+    def permit(
+        self, ask: TrialAsk, service: str, patience: float, cancellation: Cancellation
+    ) -> bool:
+        """Whether a request that may run runs alone; waits `patience` seconds for its turn.
 
         Raises RequestQuarantined, RequestOnTrial or CallerLeft where it may not run.
         """
-        ends = self._environment.monotonic() + min(WAIT_SECONDS, seconds)
+        ends = self._environment.monotonic() + patience
         if self._cases.misses_boxes():
-            self._cases.join(request)
+            self._cases.join(ask.request)
         while True:
-            permission = self._permission(TrialAsk(request, call.id, seconds), call.service)
+            permission = self._permission(ask, service)
             if permission.verdict is Verdict.RUN:
                 return False
             if permission.verdict is Verdict.RUN_ALONE:
