--- a/packages/quarantine/seamhold_quarantine/quarantine.py
+++ b/packages/quarantine/seamhold_quarantine/quarantine.py
@@ -30,6 +30,8 @@
 CASES_DROPPED = 256
 #: A trial is over when its box says nothing for so long after the call's own time, in seconds.
 TRIAL_SLACK_SECONDS = 1.0
+#: An engine that ended counts as away for so long at most, in seconds: it starts again within.
+AWAY_SECONDS = 10.0
 FINGERPRINT_SPAN = 2**32
 
 
@@ -118,6 +120,14 @@
             return 0.0
         return _rests_until(self._counted(self._cases[request])) - now
 
+    def lately_ended(self, request: str, now: float) -> frozenset[int]:
+        """The starts of engines that ended under a request and may not be back yet."""
+        case = self._cases.get(request)
+        if case is None:
+            return frozenset()
+        since = now - AWAY_SECONDS
+        return frozenset(key for key, met in case.ends.items() if met.at > since)
+
     def ask(self, ask: TrialAsk, now: float) -> Permission:
         """Whether a run may begin now; one that runs alone is remembered until it is over."""
         standing = self.standing(ask.request, now)
--- a/packages/router/seamhold/case_keeper.py
+++ b/packages/router/seamhold/case_keeper.py
@@ -133,10 +133,14 @@
     def _standing(self, message: WantStanding) -> Permission:
         now = self._clock()
         standing = self._quarantine.standing(message.request, now)
-        if standing is Standing.SUSPECT and not self._router.may_risk(message.service, now):
+        if standing is Standing.SUSPECT and not self._may_risk(message, now):
             return Permission(Verdict.WAIT)
         return Permission(VERDICTS[standing], self._quarantine.rest(message.request, now))
 
+    def _may_risk(self, message: WantStanding, now: float) -> bool:
+        ended = self._quarantine.lately_ended(message.request, now)
+        return self._router.may_risk(message.service, ended, now)
+
     def _hear_cases(self, message: HearCases) -> None:
         if self._quarantine.merge(message.cases, self._clock()):
             self._tell()
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -162,10 +162,17 @@
         """
         return self.engines.at(engine.address)
 
-    def may_risk(self, service: str, now: float) -> bool:
-        """Whether an engine of a service may be lost to a request that is a suspect."""
-        serving = len(self.engines.serving(service, now).engines)
-        return serving > RISKED_SHARE * len(self.engines.of_service(service))
+    def may_risk(self, service: str, ended: frozenset[int], now: float) -> bool:
+        """Whether an engine of a service may be lost to a request that is a suspect.
+
+        The starts in `ended` are away, also where this box met none of these ends: a service
+        of three servers lost its last one to a box that did not know of the others.
+        """
+        serving = sum(
+            hash64(name) not in ended for name in self.engines.serving(service, now).engines
+        )
+        known = max(len(self.engines.of_service(service)), serving + len(ended))
+        return serving > RISKED_SHARE * known
 
     def store_answered(self, now: float) -> None:
         """The platform answered this box."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -294,8 +294,27 @@
         before = Engine('e0@1', 'llm', '10.1.0.0:1', incarnation='e0')
         self.assertEqual(self.ended(self.engines[0]), self.ended(before))
 
+    def may_risk(self, now: float = 0.0) -> bool:
+        """Whether a suspect may run that ended the first two engines, as peers told."""
+        known = after(*(report(hash64(engine.name)) for engine in self.engines[:2]))
+        return self.router.may_risk('llm', known.lately_ended(ASKED.digest, now), now)
+
     def test_no_engine_is_risked_where_half_are_away(self):
-        self.assertTrue(self.router.may_risk('llm', 0.0))
+        self.assertTrue(self.router.may_risk('llm', frozenset(), 0.0))
         for engine in self.engines[:2]:
             self.ended(engine)
-        self.assertFalse(self.router.may_risk('llm', 0.0))
+        self.assertFalse(self.router.may_risk('llm', frozenset(), 0.0))
+
+    def test_engines_that_ended_at_other_boxes_are_away_too(self):
+        # Callers of a service of three found none of its servers: two had ended under a request
+        # at one box, and another box, which had met neither end, let it run alone at the third.
+        self.assertFalse(self.may_risk())
+        self.router.set_engines(self.engines[2:], 1.0)
+        self.assertFalse(self.may_risk(1.0), 'those that are off the list are away as well')
+        again = [replace(engine, name=f'{engine.name}@2') for engine in self.engines[:2]]
+        self.router.set_engines([*again, *self.engines[2:]], 4.0)
+        self.assertTrue(self.may_risk(4.0))
+
+    def test_what_never_comes_back_is_not_waited_for(self):
+        self.router.set_engines(self.engines[2:], 1.0)
+        self.assertTrue(self.may_risk(30.0))
