--- a/packages/router/seamhold/catching_up.py
+++ b/packages/router/seamhold/catching_up.py
@@ -46,6 +46,7 @@
         self._up_at = clock()
         self._turn = threading.Lock()
         self._running: Future | None = None
+        #: The look for which a call has waited without an answer.
         self._in_vain: Future | None = None
 
     def wait(self) -> None:
