--- a/measure/slopes.py
+++ b/measure/slopes.py
@@ -13,6 +13,7 @@
 from seamhold_attempts.tickets import TicketBook
 from seamhold_membership import Digest, Event, EventKind
 from seamhold_messages.fleet import Box, Engine
+from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Call, Usage, Work
 from seamhold_peers import EncodedDigest
 from seamhold_routing import Router
@@ -230,7 +231,7 @@
         slope = Slope(what, unit, small, large, cost(small), cost(large))
         rows.append(slope.__dict__ | {'each': slope.each})
     # Usage is what a digest carries for each workspace with a limit.
-    usage = Digest('box-0', 'x', base=1, usage={'w': Usage(Work(3, 2000), 4.0)})
+    usage = Digest('box-0', 'x', base=1, usage={hash32('w'): Usage(Work(3, 2000), 4.0)})
     empty = Digest('box-0', 'x', base=1)
     each = EncodedDigest(usage).size - EncodedDigest(empty).size
     rows.append(
--- a/packages/limits/seamhold_limits/grants.py
+++ b/packages/limits/seamhold_limits/grants.py
@@ -15,7 +15,7 @@
 
 class _Message(Struct, frozen=True):
     seq: int
-    demands: dict[str, float]
+    demands: dict[int, float]
 
 
 #: Messages without an answer that are kept apart.
@@ -38,13 +38,13 @@
             lowest = {name: min(held.demands.get(name, 0.0) for held in later) for name in names}
             self.messages = deque([heard, _Message(message.seq, lowest)])
 
-    def lowest(self, workspace: str) -> float:
+    def lowest(self, workspace: int) -> float:
         """The least demand that the peer may believe."""
         return min(message.demands.get(workspace, 0.0) for message in self.messages)
 
 
 class DemandGrants:
-    """This box's demand by workspace, as far as its peers have made room."""
+    """This box's demand by workspace (the hash of its name), as far as its peers made room."""
 
     def __init__(self):
         self._peers: dict[str, _Peer] = {}
@@ -53,7 +53,7 @@
         """The live peers, which all have to make room."""
         self._peers = {name: self._peers.get(name) or _Peer() for name in names}
 
-    def told(self, peer: str, seq: int, demands: dict[str, float]) -> None:
+    def told(self, peer: str, seq: int, demands: dict[int, float]) -> None:
         """Message `seq` with this box's demands went to a peer."""
         held = self._peers.get(peer)
         if held is not None:
@@ -72,7 +72,7 @@
         if peer in self._peers:
             self._peers[peer] = _Peer()
 
-    def demand(self, workspace: str, current: float) -> float:
+    def demand(self, workspace: int, current: float) -> float:
         """The demand that this box may count on for its share."""
         if not self._peers:
             return current
--- a/packages/limits/seamhold_limits/workspaces.py
+++ b/packages/limits/seamhold_limits/workspaces.py
@@ -4,6 +4,9 @@
 (see `grants`), as long as no peer holds more than its share: a share moves
 before the work that was admitted under it has ended.  How much that is each
 box tells itself: another may believe its share to be larger than it is.
+
+Boxes tell each other of workspaces by the hash of their names, and what they tell is
+kept by it: a box acknowledges it before its settings may have named the workspace.
 """
 
 from collections import defaultdict
@@ -11,6 +14,7 @@
 from msgspec import Struct, field
 
 from seamhold_messages.errors import WorkspaceLimit
+from seamhold_messages.hashing import hash32
 from seamhold_messages.work import NO_WORK, Usage, Work
 
 from .grants import DemandGrants
@@ -75,14 +79,15 @@
 
     def __init__(self, me: str):
         self.me = me
-        self._caps: dict[str, WorkspaceCaps] = {}
-        self._spaces: dict[str, _Space] = defaultdict(_Space)
+        #: By the hash of the workspace's name, as the next.
+        self._caps: dict[int, WorkspaceCaps] = {}
+        self._spaces: dict[int, _Space] = defaultdict(_Space)
         self._boxes: list[str] = [me]
         self._grants = DemandGrants()
 
     def set_caps(self, caps: dict[str, WorkspaceCaps]) -> None:
         """Replace the limits; work in flight is kept."""
-        self._caps = dict(caps)
+        self._caps = {hash32(name): held for name, held in caps.items()}
 
     def set_boxes(self, boxes: list[str]) -> None:
         """The live boxes, this one among them, that hold shares."""
@@ -91,65 +96,66 @@
         for space in self._spaces.values():
             space.peers = {name: told for name, told in space.peers.items() if name in boxes}
 
-    def set_peer(self, box: str, usage: dict[str, Usage], ack: int) -> None:
-        """Replace what peer `box` told of all workspaces.
+    def set_peer(self, box: str, usage: dict[int, Usage], ack: int) -> None:
+        """Replace what peer `box` told of all workspaces, by the hash of their names.
 
         `ack` is the last of this box's messages that it had heard by then.
         """
         self._grants.heard(box, ack)
-        for name, space in self._spaces.items():
-            if name not in usage:
+        for key, space in self._spaces.items():
+            if key not in usage:
                 space.peers.pop(box, None)
-        for name, told in usage.items():
-            self._spaces[name].peers[box] = told
+        for key, told in usage.items():
+            self._spaces[key].peers[box] = told
 
-    def usage(self, now: float) -> dict[str, Usage]:
+    def usage(self, now: float) -> dict[int, Usage]:
         """What this box tells its peers: only of workspaces with a limit."""
         found = {}
-        for name, space in self._spaces.items():
-            if self._caps_of(name) == NO_CAPS:
+        for key, space in self._spaces.items():
+            if self._caps_of(key) == NO_CAPS:
                 continue
             demand = space.demand(now)
             if demand > IDLE_TELL or space.work.requests:
-                found[name] = Usage(space.work, demand, self._over(name, space, now))
+                found[key] = Usage(space.work, demand, self._over(key, space, now))
         return found
 
-    def _over(self, name: str, space: _Space, now: float) -> Work:
+    def _over(self, key: int, space: _Space, now: float) -> Work:
         """The part of a workspace's work that is above this box's shares."""
         if space.work == NO_WORK:
             return NO_WORK
-        caps = self._caps_of(name)
+        caps = self._caps_of(key)
         return Work(
-            self._above(name, caps.requests_in_flight, space.work.requests, now),
-            self._above(name, caps.tokens_in_flight, space.work.tokens, now),
+            self._above(key, caps.requests_in_flight, space.work.requests, now),
+            self._above(key, caps.tokens_in_flight, space.work.tokens, now),
         )
 
-    def _above(self, name: str, limit: int | None, held: int, now: float) -> int:
-        if not limit or not held or holds_within_share(limit, held, self._demands(name, now)):
+    def _above(self, key: int, limit: int | None, held: int, now: float) -> int:
+        if not limit or not held or holds_within_share(limit, held, self._demands(key, now)):
             return 0
-        return max(0, held - self._shares(name, limit, now)[self.me])
+        return max(0, held - self._shares(key, limit, now)[self.me])
 
-    def _demands(self, name: str, now: float) -> Demands:
-        space = self._spaces[name]
+    def _demands(self, key: int, now: float) -> Demands:
+        space = self._spaces[key]
         told = tuple(usage.demand for usage in space.peers.values())
-        own = self._grants.demand(name, space.demand(now))
+        own = self._grants.demand(key, space.demand(now))
         return Demands(own, told, len(self._boxes) - 1 - len(told))
 
     def admit(self, workspace: str, work: Work, now: float) -> None:
         """Count `work` as in flight, or raise WorkspaceLimit."""
-        space = self._spaces[workspace]
+        key = hash32(workspace)
+        space = self._spaces[key]
         try:
-            self._check_requests(workspace, space, work, now)
-            self._check_tokens(workspace, space, work, now)
-            self._check_rate(workspace, space, work, now)
+            self._check_requests(key, space, work, now)
+            self._check_tokens(key, space, work, now)
+            self._check_rate(key, space, work, now)
         except WorkspaceLimit:
             space.note_refusal(now)
             raise
         space.work += work
 
-    def digest_sent(self, peer: str, seq: int, usage: dict[str, Usage]) -> None:
+    def digest_sent(self, peer: str, seq: int, usage: dict[int, Usage]) -> None:
         """A peer was told all of `usage`, in message `seq`."""
-        demands = {name: told.demand for name, told in usage.items()}
+        demands = {key: told.demand for key, told in usage.items()}
         self._grants.told(peer, seq, demands)
 
     def peer_forgot(self, peer: str) -> None:
@@ -158,55 +164,55 @@
 
     def release(self, workspace: str, work: Work) -> None:
         """Work that was admitted has ended."""
-        self._spaces[workspace].work -= work
+        self._spaces[hash32(workspace)].work -= work
 
-    def _caps_of(self, workspace: str) -> WorkspaceCaps:
-        return self._caps.get(workspace, NO_CAPS)
+    def _caps_of(self, key: int) -> WorkspaceCaps:
+        return self._caps.get(key, NO_CAPS)
 
-    def _check_requests(self, name: str, space: _Space, work: Work, now: float) -> None:
-        limit = self._caps_of(name).requests_in_flight
+    def _check_requests(self, key: int, space: _Space, work: Work, now: float) -> None:
+        limit = self._caps_of(key).requests_in_flight
         if limit is None:
             return
         held = {
             box: _Held(told.work.requests, told.over.requests) for box, told in space.peers.items()
         }
         after = space.work.requests + work.requests
-        if not self._fits(name, limit, after, work.requests, held, now):
+        if not self._fits(key, limit, after, work.requests, held, now):
             raise WorkspaceLimit(f'at {limit} calls in flight', IN_FLIGHT_RETRY_SECONDS)
 
-    def _check_tokens(self, name: str, space: _Space, work: Work, now: float) -> None:
-        limit = self._caps_of(name).tokens_in_flight
+    def _check_tokens(self, key: int, space: _Space, work: Work, now: float) -> None:
+        limit = self._caps_of(key).tokens_in_flight
         if limit is None:
             return
         held = {box: _Held(told.work.tokens, told.over.tokens) for box, told in space.peers.items()}
         after = space.work.tokens + work.tokens
-        if not self._fits(name, limit, after, work.tokens, held, now):
+        if not self._fits(key, limit, after, work.tokens, held, now):
             raise WorkspaceLimit(f'at {limit} tokens in flight', IN_FLIGHT_RETRY_SECONDS)
 
     def _fits(
-        self, name: str, limit: int, after: int, asked: int, held: dict[str, _Held], now: float
+        self, key: int, limit: int, after: int, asked: int, held: dict[str, _Held], now: float
     ) -> bool:
         """Whether this box may hold `after`, while peers hold `held`."""
         if asked > limit:
             # A call larger than the whole limit may still run alone.
             return after == asked and not any(told.work for told in held.values())
-        shares = self._shares(name, limit, now)
+        shares = self._shares(key, limit, now)
         others = sum(
             held.get(box, NOTHING_HELD).at_most(shares[box]) for box in shares if box != self.me
         )
         return after <= min(shares[self.me], limit - others)
 
-    def _shares(self, name: str, limit: int, now: float) -> dict[str, int]:
-        space = self._spaces[name]
+    def _shares(self, key: int, limit: int, now: float) -> dict[str, int]:
+        space = self._spaces[key]
         demands = {box: space.peers.get(box, Usage()).demand for box in self._boxes}
-        demands[self.me] = self._grants.demand(name, space.demand(now))
+        demands[self.me] = self._grants.demand(key, space.demand(now))
         return split_limit(limit, demands)
 
-    def _check_rate(self, name: str, space: _Space, work: Work, now: float) -> None:
-        limit = self._caps_of(name).requests_per_second
+    def _check_rate(self, key: int, space: _Space, work: Work, now: float) -> None:
+        limit = self._caps_of(key).requests_per_second
         if limit is None:
             return
-        share = limit * self._shares(name, RATE_SCALE, now)[self.me] / RATE_SCALE
+        share = limit * self._shares(key, RATE_SCALE, now)[self.me] / RATE_SCALE
         burst = max(1.0, share * RATE_BURST_SECONDS)
         if space.bucket is None:
             space.bucket = TokenBucket(share, burst, now)
--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -31,6 +31,9 @@
 class Digest(Struct, frozen=True):
     """One message from a box to a peer.
 
+    `usage` is by the hash of a workspace's name, so that a peer whose settings do not have it
+    yet takes it in before it says that it heard the message.
+
     `seq` counts this box's messages to this peer from 1; `base` is the one
     that the entries are relative to, 0 if the digest is full.
     `settings_total` and `settings_print` tell which settings are in force
@@ -51,7 +54,7 @@
     incarnation: str
     leaving: bool = False
     loads: dict[str, Work] = field(default_factory=dict)
-    usage: dict[str, Usage] = field(default_factory=dict)
+    usage: dict[int, Usage] = field(default_factory=dict)
     settings_total: int = 0
     settings_print: int = 0
     events: list[Event] = field(default_factory=list)
--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -1,8 +1,8 @@
 """Digests to bytes and back, in MessagePack.
 
-Names of engines and workspaces travel as 32-bit hashes; both sides know the
-names from the platform's list and the settings.  A hash that is not known
-yet is left out: the entry comes again with the next full digest.
+Names of engines travel as 32-bit hashes; both sides know the names from the platform's
+list.  A hash that is not known yet is left out until its entry changes.  Workspaces are
+told by such hashes, too, and need no name.
 """
 
 import math
@@ -16,7 +16,7 @@
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import NO_WORK, Usage, Work
 
-from .names import NameTable, pack_names, unpack
+from .names import NameTable, pack, pack_names, unpack
 from .news_codec import (
     HeartbeatColumns,
     HoldingColumns,
@@ -56,7 +56,7 @@
 
 
 class UsageColumns(Struct, frozen=True, array_like=True):
-    """Work and demand, workspace by workspace; keys are packed."""
+    """Work and demand, workspace by workspace; the hashes of their names are packed."""
 
     workspaces: bytes
     requests: list[int]
@@ -161,13 +161,13 @@
     )
 
 
-def _usage_columns(usage: dict[str, Usage]) -> UsageColumns | None:
+def _usage_columns(usage: dict[int, Usage]) -> UsageColumns | None:
     if not usage:
         return None
     told = usage.values()
     over = any(one.over != NO_WORK for one in told)
     return UsageColumns(
-        pack_names(usage),
+        pack(usage),
         [one.work.requests for one in told],
         [one.work.tokens for one in told],
         # Not down: a box counts on no more than others believe that it asked for.
@@ -247,7 +247,8 @@
             if (name := self._names.name(key))
         }
 
-    def _usage(self, part: UsageColumns | None) -> dict[str, Usage]:
+    @staticmethod
+    def _usage(part: UsageColumns | None) -> dict[int, Usage]:
         if part is None:
             return {}
         keys = unpack(part.workspaces)
@@ -255,9 +256,8 @@
         over = map(Work, part.over_requests or none, part.over_tokens or none)
         rows = zip(keys, part.requests, part.tokens, part.demand_tenths, over, strict=False)
         return {
-            name: Usage(Work(requests, tokens), tenths / TENTHS, above)
+            key: Usage(Work(requests, tokens), tenths / TENTHS, above)
             for key, requests, tokens, tenths, above in rows
-            if (name := self._names.name(key))
         }
 
 
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -257,7 +257,6 @@
         report = await answer_of(self._decider.ask(WantReport()))
         self.roster = report
         self.names.add(engine.name for engine in report.engines)
-        self.names.add(self._keeper.snapshot.tree.workspaces)
         self.names.add(box.name for box in report.boxes)
         self._addresses = {box.name: box.peer_address for box in report.boxes}
         self._connect({name: self._addresses[name] for name in report.neighbours})
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -12,6 +12,7 @@
     Event,
     EventKind,
 )
+from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Holding, Usage, Work
 from seamhold_peers import DigestReader, EncodedDigest, NameTable
 from seamhold_peers.datagrams import DATAGRAM_MAX_BYTES
@@ -21,7 +22,7 @@
     st.builds(Work, st.integers(1, 99), st.integers(0, 10**6)),
 )
 USAGE = st.dictionaries(
-    st.sampled_from(['w1', 'w2']),
+    st.sampled_from([hash32('w1'), hash32('w2')]),
     st.builds(Usage, st.builds(Work, st.integers(1, 9)), st.integers(0, 50).map(float)),
 )
 
@@ -43,7 +44,7 @@
     )
     def test_what_is_heard_is_what_was_told(self, steps):
         names = NameTable()
-        names.add([f'e{number}' for number in range(6)] + ['w1', 'w2'])
+        names.add(f'e{number}' for number in range(6))
         sender, receiver, reader = DigestSender(), DigestReceiver(), DigestReader(names)
         late = []
         last = 0
@@ -114,14 +115,13 @@
     def test_a_peer_believes_no_less_of_what_a_box_asks_for_and_holds(self):
         # Demand travelled rounded to the nearest tenth: a box counted on 2.04 calls for its
         # share while its peers made room for 2.0.
-        names = NameTable()
-        names.add(['w', 'v'])
-        usage = {'w': Usage(Work(2, 200), 2.04, Work(1, 150)), 'v': Usage(Work(1, 9), 1.0)}
+        first, second = hash32('w'), hash32('v')
+        usage = {first: Usage(Work(2, 200), 2.04, Work(1, 150)), second: Usage(Work(1, 9), 1.0)}
         data = EncodedDigest(Digest('box', '1', usage=usage)).data
-        heard = DigestReader(names).read(data).usage
-        self.assertAlmostEqual(2.1, heard['w'].demand)
-        self.assertEqual(Work(1, 150), heard['w'].over)
-        self.assertEqual(usage['v'], heard['v'])
+        heard = DigestReader(NameTable()).read(data).usage
+        self.assertAlmostEqual(2.1, heard[first].demand)
+        self.assertEqual(Work(1, 150), heard[first].over)
+        self.assertEqual(usage[second], heard[second])
 
     def test_what_is_no_digest_is_not_read(self):
         reader = DigestReader(NameTable())
