--- a/packages/membership/seamhold_membership/box_view.py
+++ b/packages/membership/seamhold_membership/box_view.py
@@ -39,9 +39,10 @@
         #: The same, for look-ups.
         self._near: frozenset[str] = frozenset()
 
-    def set_list(self, boxes: list[Box], now: float) -> None:
-        """Take over the platform's list of boxes; it may be behind."""
+    def set_list(self, boxes: list[Box], now: float) -> set[str]:
+        """Take over the platform's list of boxes, which may be behind; the names new on it."""
         names = {box.name for box in boxes}
+        new = names - set(self._states) - {self.me}
         for name in set(self._states) - names:
             del self._states[name]
         for box in boxes:
@@ -58,6 +59,7 @@
         for name in set(self._neighbours) - before:
             # A new neighbour gets its time to speak.
             self._states[name].heard_at = now
+        return new
 
     def heard(self, name: str, incarnation: str, now: float, store_lost: bool = False) -> bool:
         """A message came from a box; True if it started anew since.
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -98,6 +98,15 @@
         for event in digest.events:
             self.note(event, now)
 
+    def boxes_listed(self, names: Iterable[str]) -> None:
+        """Boxes came on the platform's list.
+
+        Only listed boxes hold shares of limits: what these told before was not counted, and
+        must not be acknowledged.
+        """
+        for name in names:
+            self._receiver.forget(name)
+
     def _take_news(self, digest: Digest, now: float) -> None:
         """Believe what the peer passed on, and pass on what is new here."""
         for holding in self._known.holders.told(digest.held, now):
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -114,7 +114,7 @@
 
     def set_boxes(self, boxes: list[Box], now: float) -> None:
         """Take over the platform's list of boxes."""
-        self.boxes.set_list(boxes, now)
+        self.exchange.boxes_listed(self.boxes.set_list(boxes, now))
         self._cold_shares.set_boxes(box.name for box in boxes)
         self.exchange.selection.begin(now)
         self._share_between_live(now)
