--- a/packages/platform/seamhold_platform/client.py
+++ b/packages/platform/seamhold_platform/client.py
@@ -104,6 +104,11 @@
         answer = self._call('put', method, path, item.to_wire())
         return PlatformObject.from_wire(self._json('put', answer))
 
+    def delete(self, kind: ObjectKind, name: str, version: str) -> None:
+        """Remove the object if it is still at `version`; raises PlatformConflict if not."""
+        body = {'preconditions': {'resourceVersion': version}}
+        self._call('delete', 'DELETE', self._path(kind, name), body)
+
     def watch(
         self, kind: ObjectKind, version: str, seconds: float = WATCH_SECONDS
     ) -> Iterator[WatchEvent]:
--- a/packages/quarantine/seamhold_quarantine/__init__.py
+++ b/packages/quarantine/seamhold_quarantine/__init__.py
@@ -1,6 +1,6 @@
 """Which requests end the engines that run them, and whether one may run."""
 
-from .case import QUARANTINE_ENDS, SUSPECT_ENDS
+from .case import QUARANTINE_ENDS, SUSPECT_ENDS, is_over
 from .identity import RequestIdentity
 from .messages import (
     Case,
@@ -29,4 +29,5 @@
     'TrialAsk',
     'TrialOver',
     'Verdict',
+    'is_over',
 ]
--- a/packages/quarantine/seamhold_quarantine/case.py
+++ b/packages/quarantine/seamhold_quarantine/case.py
@@ -98,7 +98,7 @@
     @property
     def forgotten_at(self) -> float:
         """When nothing of it has to be known any more."""
-        return self.last_end + rest_after(len(self.ends)) + MEMORY_SECONDS
+        return self.last_end + known_for(len(self.ends))
 
     @property
     def fingerprint(self) -> int:
@@ -107,6 +107,17 @@
         return hash64(f'{self.request};{ends};{self.clears}')
 
 
+def is_over(told: Case) -> bool:
+    """Whether nothing of a case as it is told has to be known any more."""
+    youngest = min((end.age for end in told.ends), default=math.inf)
+    return youngest >= known_for(len(told.ends))
+
+
+def known_for(ends: int) -> float:
+    """How long after so many engines' ends a request is remembered, in seconds."""
+    return rest_after(ends) + MEMORY_SECONDS
+
+
 def rest_after(ends: int) -> float:
     """How long a request is refused after so many engines ended under it, in seconds."""
     if ends < QUARANTINE_ENDS:
--- a/packages/router/seamhold/case_store.py
+++ b/packages/router/seamhold/case_store.py
@@ -3,7 +3,8 @@
 Peers tell each other within some tenths of a second; the store is for the moment at which
 all boxes are gone, and for boxes that reach it but not each other.  A box reads it at its
 start and writes what itself learned; while boxes are missing, a box whose engine ended under
-a request asks for that, and `CasesFollower` follows the others.
+a request asks for that, and `CasesFollower` follows the others.  One box removes what is
+long over.
 """
 
 import queue
@@ -15,15 +16,16 @@
 from msgspec import Struct
 
 from seamhold_messages.errors import PlatformConflict, PlatformNotFound, SeamholdError
+from seamhold_placement.rank import owners
 from seamhold_platform import ObjectKind, PlatformObject
-from seamhold_quarantine import Case, EngineEnd
+from seamhold_quarantine import Case, EngineEnd, is_over
 
 from .clock import boot_seconds
 from .decider import Decider
 from .decisions import DeciderReport, HearCases, WantCase
 from .logs import logger
 from .metrics import Metrics
-from .ports import ObjectStore
+from .ports import RemovableStore
 from .tasks import Stop
 
 #: Time until a call that failed is made again, in seconds.
@@ -34,6 +36,10 @@
 FIRST_READ_SECONDS = 1.5
 #: A call whose engine ended waits so long for the store, as it does for a box.  In seconds.
 JOIN_SECONDS = 0.15
+#: How often what is long over is removed, in seconds; it is kept for a day at least.
+CLEAN_SECONDS = 3600.0
+#: Ranks the box that removes it.
+CLEANER_KEY = 'cases-cleaner'
 
 
 class StoredEnd(Struct, frozen=True):
@@ -94,12 +100,14 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        box: str,
+        store: RemovableStore,
         decider: Decider,
         roster: Callable[[], DeciderReport],
         unix_time: Callable[[], float],
         metrics: Metrics,
     ):
+        self._box = box
         self._store = store
         self._decider = decider
         self._roster = roster
@@ -108,6 +116,7 @@
         self._log = logger('case-store')
         self._changed: queue.SimpleQueue[_Wanted | Stop] = queue.SimpleQueue()
         self._stopped = threading.Event()
+        self._cleans_at = boot_seconds() + CLEAN_SECONDS
         self._thread = threading.Thread(target=self._run, name='case-store', daemon=True)
         decider.cases.known.clear()
         decider.cases.on_case = self.join_soon
@@ -143,15 +152,47 @@
     def _run(self) -> None:
         self._read_first()
         while not self._stopped.is_set():
-            wanted = self._changed.get()
+            wanted = self._next()
             if isinstance(wanted, Stop):
                 return
-            if not self._try(partial(self._write, wanted.request)):
+            if wanted is None:
+                self._try(self.clean)
+            elif not self._try(partial(self._write, wanted.request)):
                 self._changed.put(wanted)
                 self._stopped.wait(RETRY_SECONDS)
             elif wanted.done is not None:
                 wanted.done.set()
 
+    def _next(self) -> _Wanted | Stop | None:
+        """What is to be done next, None when it is time to clean."""
+        try:
+            return self._changed.get(timeout=max(0.0, self._cleans_at - boot_seconds()))
+        except queue.Empty:
+            self._cleans_at = boot_seconds() + CLEAN_SECONDS
+            return None
+
+    def clean(self) -> None:
+        """Remove what is long over, where this box ranks first for that.
+
+        Nothing else would: each box that starts reads all that is kept.
+        """
+        if owners(CLEANER_KEY, self._roster().heard_boxes) != [self._box]:
+            return
+        for item in self._store.list(ObjectKind.QUARANTINE).objects:
+            if self._is_over(item) and self._try(partial(self._remove, item)):
+                self._log.info('case.removed', digest=item.name)
+
+    def _is_over(self, item: PlatformObject) -> bool:
+        try:
+            return is_over(from_object(item, self._unix_time()))
+        except (ValueError, msgspec.ValidationError):
+            # Another's writing; said when it was read.
+            return False
+
+    def _remove(self, item: PlatformObject) -> None:
+        """Not if another engine has ended under it meanwhile."""
+        self._store.delete(ObjectKind.QUARANTINE, item.name, item.version)
+
     def _read_first(self) -> None:
         """Read all that is kept, again and again until that succeeds.
 
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -91,6 +91,7 @@
         self.backends = BackendConnections(dialect.backends, clock)
         self.peering = Peering(config, self.decider, self.keeper, environment, self.metrics, chance)
         self.cases = CaseStore(
+            config.box,
             self.store,
             self.decider,
             lambda: self.peering.roster,
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -64,6 +64,7 @@
         self.engines = EngineClient()
         self.peering = Peering(config, self.decider, self.keeper, environment, self.metrics, chance)
         self.cases = CaseStore(
+            config.box,
             self.platform,
             self.decider,
             lambda: self.peering.roster,
--- a/standins/standins/platform.py
+++ b/standins/standins/platform.py
@@ -74,12 +74,15 @@
             self._note(kind, 'MODIFIED' if held else 'ADDED', item)
             return 200 if held else 201, item
 
-    def delete(self, kind: str, name: str) -> tuple[int, dict]:
-        """Remove an object."""
+    def delete(self, kind: str, name: str, wanted: str = '') -> tuple[int, dict]:
+        """Remove an object, if it is still at version `wanted` where that is told."""
         with self.changed:
-            held = self.objects[kind].pop(name, None)
+            held = self.objects[kind].get(name)
             if held is None:
                 return 404, {'reason': 'NotFound'}
+            if wanted and wanted != held['metadata']['resourceVersion']:
+                return 409, {'reason': 'Conflict'}
+            del self.objects[kind][name]
             self.version += 1
             item = copy.deepcopy(held)
             item['metadata']['resourceVersion'] = str(self.version)
@@ -229,8 +232,10 @@
     def do_DELETE(self):
         """Remove an object."""
         kind, name, _ = self._route()
+        conditions = self.read_json().get('preconditions', {})
         if not self._broken('write'):
-            self.send_json(*self.server.store.delete(kind, name))
+            wanted = conditions.get('resourceVersion', '')
+            self.send_json(*self.server.store.delete(kind, name, wanted))
 
     def _write(self, create: bool) -> None:
         if self._broken('write'):
--- /dev/null
+++ b/tests/test_case_store.py
@@ -0,0 +1,78 @@
+"""What the platform's store keeps of requests that end engines, and for how long."""
+
+import testtools
+
+from seamhold.case_store import CaseStore, to_object
+from seamhold.decider import Decider
+from seamhold.decisions import DeciderReport
+from seamhold.metrics import Metrics
+from seamhold_messages.errors import PlatformConflict
+from seamhold_platform import ObjectKind, PlatformClient
+from seamhold_quarantine import Case, EngineEnd
+from seamhold_quarantine.case import FIRST_REST_SECONDS, MEMORY_SECONDS
+from seamhold_routing import Router
+from standins.platform import Platform
+
+KEPT_SECONDS = FIRST_REST_SECONDS + MEMORY_SECONDS
+BOXES = ('box-1', 'box-2', 'box-3')
+
+
+def proven(request: str) -> Case:
+    """A request under which three engines ended, the last of them just now."""
+    ends = tuple(EngineEnd(number, number == 1, 10.0 * number) for number in range(1, 4))
+    return Case(request, 7, 'kitchen', ends)
+
+
+class TestCleaning(testtools.TestCase):
+    """Each request that ended engines left an object for ever, and each start read them all."""
+
+    def setUp(self):
+        super().setUp()
+        server = Platform()
+        server.start()
+        self.addCleanup(server.stop)
+        self.store = PlatformClient(f'http://127.0.0.1:{server.port}')
+        self.addCleanup(self.store.close)
+
+    def keep(self, request: str, version: str = '') -> None:
+        self.store.put(ObjectKind.QUARANTINE, to_object(proven(request), 0.0, version))
+
+    def kept(self) -> list[str]:
+        return [item.name for item in self.store.list(ObjectKind.QUARANTINE).objects]
+
+    def clean_at(self, unix_time: float, boxes: tuple[str, ...] = BOXES) -> None:
+        """Each box has its turn to clean."""
+        roster = DeciderReport(0, boxes, (), (), (), {})
+        for box in boxes:
+            decider = Decider(Router(box, 'start'), lambda: 0.0)
+            CaseStore(
+                box, self.store, decider, lambda: roster, lambda: unix_time, Metrics()
+            ).clean()
+
+    def test_what_is_long_over_is_removed_by_one_box(self):
+        self.keep('old')
+        before = self.store.calls.copy()
+        self.clean_at(KEPT_SECONDS - 11.0)
+        self.assertEqual(['old'], self.kept())
+        self.assertEqual(2, self.store.calls['list'] - before['list'])
+        self.clean_at(KEPT_SECONDS)
+        self.assertEqual([], self.kept())
+
+    def test_what_another_wrote_there_stays(self):
+        item = to_object(proven('odd'), 0.0)
+        self.store.put(ObjectKind.QUARANTINE, type(item)('odd', {'scope': 'x'}))
+        self.clean_at(KEPT_SECONDS)
+        self.assertEqual(['odd'], self.kept())
+
+    def test_one_that_changed_meanwhile_stays(self):
+        self.keep('changed')
+        (item,) = self.store.list(ObjectKind.QUARANTINE).objects
+        self.keep('changed', item.version)
+        self.assertRaises(
+            PlatformConflict,
+            self.store.delete,
+            ObjectKind.QUARANTINE,
+            item.name,
+            item.version,
+        )
+        self.assertEqual(['changed'], self.kept())
