--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -188,6 +188,11 @@
             usage={name: told for name, told in usage.items() if told != Usage()},
         )
 
+    def latest(self, box: str) -> Digest | None:
+        """The whole state last heard of `box`, None for none."""
+        states = self._states.get(box)
+        return next(reversed(states.values())) if states else None
+
     def last(self, box: str) -> int:
         """The number of the last message heard from `box`; 0 for none."""
         return next(reversed(self._states.get(box, {})), 0)
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -101,11 +101,13 @@
     def boxes_listed(self, names: Iterable[str]) -> None:
         """Boxes came on the platform's list.
 
-        Only listed boxes hold shares of limits: what these told before was not counted, and
-        must not be acknowledged.
+        Only listed boxes hold shares of limits: what was heard of these before counts from
+        now on, since it is acknowledged from now on.
         """
         for name in names:
-            self._receiver.forget(name)
+            heard = self._receiver.latest(name)
+            if heard is not None:
+                self._known.limits.set_peer(name, heard.usage, heard.ack)
 
     def _take_news(self, digest: Digest, now: float) -> None:
         """Believe what the peer passed on, and pass on what is new here."""
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -114,10 +114,11 @@
 
     def set_boxes(self, boxes: list[Box], now: float) -> None:
         """Take over the platform's list of boxes."""
-        self.exchange.boxes_listed(self.boxes.set_list(boxes, now))
+        new = self.boxes.set_list(boxes, now)
         self._cold_shares.set_boxes(box.name for box in boxes)
         self.exchange.selection.begin(now)
         self._share_between_live(now)
+        self.exchange.boxes_listed(new)
 
     def hear(self, digest: Digest, now: float) -> list[Decision]:
         """A peer told its state; calls that waited may now have a place."""
