--- a/models/quarantine.py
+++ b/models/quarantine.py
@@ -4,6 +4,10 @@
 come at both boxes at any time; the first is the one that joins what both met; the second
 hears of it later; all boxes may be gone once what is known stands in the store.  Each run
 ends an engine: one request ends four at most.
+
+The boxes may also be cut off from each other, and know it: then each joins what it meets with
+the store, hears of what the other wrote there, and lets the request run alone by itself.  One
+more engine ends at most.
 """
 
 from functools import cache
@@ -43,6 +47,7 @@
     stored: tuple = ()
     ended: int = 0
     all_gone: bool = False
+    cut: bool = False
     ran_in_quarantine: bool = False
 
 
@@ -58,12 +63,17 @@
 
 def transitions(state: State, variant: str) -> Steps:
     """Every step that may come next."""
+    if state == State():
+        yield 'the boxes are cut off from each other', state._replace(cut=True)
     for name in ('owner', 'other'):
         box = getattr(state, name)
         if box.runs:
             yield f'engine ends at {name}', _ended(state, name, variant)
         else:
             yield from _copies(state, name, variant)
+    if state.cut:
+        yield from _heard_from_store(state)
+        return
     if standing(state.owner.known) is not Standing.CLEAR:
         heard = _joined(state.other.known, state.owner.known)
         yield 'the other hears', state._replace(other=state.other._replace(known=heard))
@@ -77,6 +87,13 @@
         )
 
 
+def _heard_from_store(state: State) -> Steps:
+    for name in ('owner', 'other'):
+        box = getattr(state, name)
+        heard = box._replace(known=_joined(box.known, state.stored))
+        yield f'{name} hears of it from the store', state._replace(**{name: heard})
+
+
 def _copies(state: State, name: str, variant: str) -> Steps:
     """A copy comes at a box that runs none."""
     box = getattr(state, name)
@@ -87,8 +104,9 @@
         return
     if found is Standing.CLEAR:
         return
-    alone = ALONE not in (state.owner.runs, state.other.runs)
-    owner_allows = standing(state.owner.known) is Standing.SUSPECT
+    asked = box if state.cut else state.owner
+    alone = state.cut or ALONE not in (state.owner.runs, state.other.runs)
+    owner_allows = standing(asked.known) is Standing.SUSPECT
     if variant == 'runs are not alone':
         alone = True
     if variant == 'what is refused is asked for':
@@ -114,6 +132,8 @@
     )
     if variant == 'each box counts for itself':
         return after
+    if state.cut:
+        return _ended_in_a_cut(after, name, variant)
     joined = _joined(after.owner.known, (end,))
     after = after._replace(owner=after.owner._replace(known=joined))
     if standing(joined) is Standing.CLEAR or variant == 'nothing comes back':
@@ -123,6 +143,15 @@
     return after._replace(**{name: told._replace(known=_joined(told.known, joined))})
 
 
+def _ended_in_a_cut(after: State, name: str, variant: str) -> State:
+    """The box joins what it met with the store, which answers both."""
+    box = getattr(after, name)
+    known = _joined(box.known, after.stored)
+    is_written = standing(known) is not Standing.CLEAR or variant != 'first ends are not written'
+    stored = known if is_written else after.stored
+    return after._replace(**{name: box._replace(known=known)}, stored=stored)
+
+
 def _joined(known: tuple, more: tuple) -> tuple:
     return tuple(sorted({*known, *more}))
 
@@ -132,7 +161,12 @@
     State(),
     transitions,
     {
-        'one request ends four engines at most': lambda state: state['ended'] <= ENDS_MAX,
+        'one request ends four engines at most': (
+            lambda state: state['ended'] <= ENDS_MAX or state['cut']
+        ),
+        'boxes that are cut off end one more at most': (
+            lambda state: state['ended'] <= ENDS_MAX + 1
+        ),
         'what is in quarantine does not run': lambda state: not state['ran_in_quarantine'],
     },
     {
@@ -140,6 +174,7 @@
         'nothing comes back': 'one request ends four engines at most',
         'runs are not alone': 'one request ends four engines at most',
         'the store is not read': 'one request ends four engines at most',
+        'first ends are not written': 'boxes that are cut off end one more at most',
         'what is refused is asked for': 'what is in quarantine does not run',
     },
 )
--- a/packages/quarantine/seamhold_quarantine/case.py
+++ b/packages/quarantine/seamhold_quarantine/case.py
@@ -20,6 +20,9 @@
 REST_MAX_SECONDS = 86_400.0
 #: What is known of a request is forgotten so long after its rest, in seconds.
 MEMORY_SECONDS = 86_400.0
+#: The store keeps a request under which fewer engines ended than make a suspect so long, in
+#: seconds: such ends are many and mostly nobody's doing.
+FIRST_END_KEPT_SECONDS = 600.0
 
 
 class MetEnd(Struct):
@@ -108,8 +111,10 @@
 
 
 def is_over(told: Case) -> bool:
-    """Whether nothing of a case as it is told has to be known any more."""
+    """Whether the store need not keep a case any more, as it is told."""
     youngest = min((end.age for end in told.ends), default=math.inf)
+    if len(told.ends) < SUSPECT_ENDS:
+        return youngest >= FIRST_END_KEPT_SECONDS
     return youngest >= known_for(len(told.ends))
 
 
--- a/packages/quarantine/seamhold_quarantine/quarantine.py
+++ b/packages/quarantine/seamhold_quarantine/quarantine.py
@@ -164,6 +164,11 @@
         case = self._shared.get(request)
         return case.told(now) if case is not None else None
 
+    def case(self, request: str, now: float) -> Case | None:
+        """All that this box knows of one request, None for nothing."""
+        case = self._cases.get(request)
+        return case.told(now) if case is not None else None
+
     def _counted(self, case: CaseState) -> dict[int, MetEnd]:
         """The ends that count against a case.
 
--- a/packages/router/seamhold/case_keeper.py
+++ b/packages/router/seamhold/case_keeper.py
@@ -54,7 +54,7 @@
             AskTrial: lambda message: self._quarantine.ask(message.ask, self._clock()),
             EndTrial: self._end_trial,
             WantStanding: self._standing,
-            WantCase: lambda message: self._quarantine.shared_case(message.request, self._clock()),
+            WantCase: lambda message: self._quarantine.case(message.request, self._clock()),
             WantCases: lambda _: self._quarantine.shared(self._clock()),
             HearCases: self._hear_cases,
             LiftCase: self._lift_case,
--- a/packages/router/seamhold/case_store.py
+++ b/packages/router/seamhold/case_store.py
@@ -2,9 +2,9 @@
 
 Peers tell each other within some tenths of a second; the store is for the moment at which
 all boxes are gone, and for boxes that reach it but not each other.  A box reads it at its
-start and writes what itself learned; while boxes are missing, a box whose engine ended under
-a request asks for that, and `CasesFollower` follows the others.  One box removes what is
-long over.
+start and writes what itself learned of suspects; while boxes are missing, a box whose engine
+ended under a request joins that with the store, and `CasesFollower` follows the others.  One
+box removes what is long over.
 """
 
 import queue
@@ -15,10 +15,11 @@
 import msgspec
 from msgspec import Struct
 
+from seamhold_limits import TokenBucket
 from seamhold_messages.errors import PlatformConflict, PlatformNotFound, SeamholdError
 from seamhold_placement.rank import owners
 from seamhold_platform import ObjectKind, PlatformObject
-from seamhold_quarantine import Case, EngineEnd, is_over
+from seamhold_quarantine import SUSPECT_ENDS, Case, EngineEnd, is_over
 
 from .clock import boot_seconds
 from .decider import Decider
@@ -36,6 +37,9 @@
 FIRST_READ_SECONDS = 1.5
 #: A call whose engine ended waits so long for the store, as it does for a box.  In seconds.
 JOIN_SECONDS = 0.15
+#: First ends that a box writes a second at most: an engine that ends by itself leaves one of
+#: each call that it held, of which a request that comes again and again is among the first.
+FIRST_ENDS_PER_SECOND = 20.0
 #: How often what is long over is removed, in seconds; it is kept for a day at least.
 CLEAN_SECONDS = 3600.0
 #: Ranks the box that removes it.
@@ -116,7 +120,9 @@
         self._log = logger('case-store')
         self._changed: queue.SimpleQueue[_Wanted | Stop] = queue.SimpleQueue()
         self._stopped = threading.Event()
-        self._cleans_at = boot_seconds() + CLEAN_SECONDS
+        now = boot_seconds()
+        self._cleans_at = now + CLEAN_SECONDS
+        self._first_ends = TokenBucket(FIRST_ENDS_PER_SECOND, FIRST_ENDS_PER_SECOND, now)
         self._thread = threading.Thread(target=self._run, name='case-store', daemon=True)
         decider.cases.known.clear()
         decider.cases.on_case = self.join_soon
@@ -235,13 +241,12 @@
         try:
             held = self._store.get(ObjectKind.QUARANTINE, request)
         except PlatformNotFound:
-            # No box that met its ends holds more than one against it.
             return
         self.take([held])
 
     def _write(self, request: str) -> None:
         case = self._case(request)
-        if case is None:
+        if case is None or not self._may_write(case):
             self._read_one(request)
             return
         try:
@@ -256,6 +261,9 @@
         if not _tells_as_much(held, case):
             self._store.put(ObjectKind.QUARANTINE, item)
 
+    def _may_write(self, case: Case) -> bool:
+        return len(case.ends) >= SUSPECT_ENDS or self._first_ends.take(1, boot_seconds())
+
     def _case(self, request: str) -> Case | None:
         return self._decider.ask(WantCase(request)).result()
 
--- a/packages/router/seamhold/cases_follower.py
+++ b/packages/router/seamhold/cases_follower.py
@@ -47,8 +47,14 @@
         return owners(FOLLOWER_KEY, roster.heard_boxes) == [self._box]
 
     def wait_turn(self) -> None:
-        """Wait until who is missing was looked at anew."""
-        self._stopped.wait(ROSTER_SECONDS)
+        """Wait until boxes are missing, or, where others follow, until the next look at who is.
+
+        Copies that come before the first list is read run at boxes that know nothing.
+        """
+        if self._peering.boxes_missing.is_set():
+            self._stopped.wait(ROSTER_SECONDS)
+        else:
+            self._peering.boxes_missing.wait(ROSTER_SECONDS)
 
     def listed(self, objects: list[PlatformObject]) -> None:
         """Take over all that is kept."""
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -119,7 +119,7 @@
 
 
 class WantCase(Ask):
-    """Asks for the case of one request, None if boxes share none."""
+    """Asks for all that this box knows of one request, None for nothing."""
 
     request: str
 
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -95,6 +95,8 @@
         self._news = asyncio.Event()
         decider.on_news = self._wake
         decider.cases.on_push = self._push_case
+        #: Set while neighbours are missing, for those who wait for that.
+        self.boxes_missing = threading.Event()
         self._handler: PeerHandler | None = None
         self._server: PeerServer | None = None
         self._thread = threading.Thread(target=self._run, name='peering', daemon=True)
@@ -256,6 +258,10 @@
         await self.catching_up.look()
         report = await answer_of(self._decider.ask(WantReport()))
         self.roster = report
+        if report.missing_boxes:
+            self.boxes_missing.set()
+        else:
+            self.boxes_missing.clear()
         self.names.add(engine.name for engine in report.engines)
         self.names.add(box.name for box in report.boxes)
         self._addresses = {box.name: box.peer_address for box in report.boxes}
