--- a/packages/router/seamhold/case_store.py
+++ b/packages/router/seamhold/case_store.py
@@ -40,7 +40,7 @@
 #: First ends that a box writes a second at most: an engine that ends by itself leaves one of
 #: each call that it held, of which a request that comes again and again is among the first.
 FIRST_ENDS_PER_SECOND = 20.0
-#: How often what is long over is removed, in seconds; it is kept for a day at least.
+#: How often what is over is removed, in seconds.
 CLEAN_SECONDS = 3600.0
 #: Ranks the box that removes it.
 CLEANER_KEY = 'cases-cleaner'
@@ -178,9 +178,9 @@
             return None
 
     def clean(self) -> None:
-        """Remove what is long over, where this box ranks first for that.
+        """Remove what is over, where this box ranks first for that.
 
-        Nothing else would: each box that starts reads all that is kept.
+        Each box that starts reads all that is kept, and nothing else ends that.
         """
         if owners(CLEANER_KEY, self._roster().heard_boxes) != [self._box]:
             return
@@ -196,7 +196,7 @@
             return False
 
     def _remove(self, item: PlatformObject) -> None:
-        """Not if another engine has ended under it meanwhile."""
+        """Remove an object, unless another end was written since it was read."""
         self._store.delete(ObjectKind.QUARANTINE, item.name, item.version)
 
     def _read_first(self) -> None:
@@ -257,6 +257,9 @@
         # The next write must not lose what another box wrote.
         self.take([held])
         case = self._case(request)
+        if case is None:
+            # Dropped meanwhile for others'; the store has what another box wrote.
+            return
         item = to_object(case, self._unix_time(), held.version)
         if not _tells_as_much(held, case):
             self._store.put(ObjectKind.QUARANTINE, item)
--- a/tests/test_case_store.py
+++ b/tests/test_case_store.py
@@ -15,6 +15,7 @@
 
 KEPT_SECONDS = FIRST_REST_SECONDS + MEMORY_SECONDS
 BOXES = ('box-1', 'box-2', 'box-3')
+ROSTER = DeciderReport(0, BOXES, (), (), (), {})
 
 
 def proven(request: str) -> Case:
@@ -40,13 +41,12 @@
     def kept(self) -> list[str]:
         return [item.name for item in self.store.list(ObjectKind.QUARANTINE).objects]
 
-    def clean_at(self, unix_time: float, boxes: tuple[str, ...] = BOXES) -> None:
+    def clean_at(self, unix_time: float) -> None:
         """Each box has its turn to clean."""
-        roster = DeciderReport(0, boxes, (), (), (), {})
-        for box in boxes:
+        for box in BOXES:
             decider = Decider(Router(box, 'start'), lambda: 0.0)
             CaseStore(
-                box, self.store, decider, lambda: roster, lambda: unix_time, Metrics()
+                box, self.store, decider, lambda: ROSTER, lambda: unix_time, Metrics()
             ).clean()
 
     def test_what_is_long_over_is_removed_by_one_box(self):
@@ -58,6 +58,19 @@
         self.clean_at(KEPT_SECONDS)
         self.assertEqual([], self.kept())
 
+    def test_the_task_goes_on_where_a_box_forgot_the_request_meanwhile(self):
+        self.keep('dropped')
+        decider = Decider(Router('box-1', 'start'), lambda: 0.0)
+        cases = CaseStore('box-1', self.store, decider, lambda: ROSTER, lambda: 0.0, Metrics())
+        known = {'dropped': [proven('dropped'), None], 'kept': [proven('kept')]}
+        self.patch(cases, 'take', lambda objects: None)
+        self.patch(cases, '_case', lambda request: known[request].pop(0))
+        cases.start()
+        self.addCleanup(cases.stop)
+        cases.join_soon('dropped')
+        cases.join('kept')
+        self.assertEqual(['dropped', 'kept'], sorted(self.kept()))
+
     def test_what_another_wrote_there_stays(self):
         item = to_object(proven('odd'), 0.0)
         self.store.put(ObjectKind.QUARANTINE, type(item)('odd', {'scope': 'x'}))
