--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -29,6 +29,9 @@
 PULL_SECONDS = 1.5
 #: A peer answers within some round trips, of 16 ms between regions; callers wait for it.
 TRIAL_SECONDS = 0.15
+#: One that is slow to answer whether a suspect may run is not passed over: two boxes that each
+#: let it run alone would end an engine each.
+ASK_SECONDS = 0.5
 
 
 class PeerClient:
@@ -101,12 +104,12 @@
 
     async def ask_trial(self, ask: TrialAsk) -> Permission:
         """Ask whether a suspect may run now; raises one of BROKEN."""
-        async with asyncio.timeout(TRIAL_SECONDS):
+        async with asyncio.timeout(ASK_SECONDS):
             return await self._stub.ask_trial(ask)
 
     async def end_trial(self, over: TrialOver) -> None:
-        """Tell that a suspect's run is over; raises one of BROKEN."""
-        async with asyncio.timeout(TRIAL_SECONDS):
+        """Tell that a suspect's run is over; nobody waits for it; raises one of BROKEN."""
+        async with asyncio.timeout(PULL_SECONDS):
             await self._stub.end_trial(over)
 
     @asynccontextmanager
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -114,7 +114,9 @@
         Meanwhile others may have ended under copies of it.  It has a place by now and waits no
         more, so that suspects hold no place that others could use.
         """
-        if not job.on_trial:
+        if job.on_trial:
+            self._trials.check_proof(job.identity.digest)
+        else:
             self._permit(job, 0.0)
 
     def _told(self, job: Job, error: SeamholdError, begun: bool) -> SeamholdError:
--- a/packages/router/seamhold/trials.py
+++ b/packages/router/seamhold/trials.py
@@ -1,8 +1,8 @@
 """Asks, for request threads, whether a request may run that engines ended under.
 
 Where nothing has ended this costs a look into an empty set.  The box that ranks first
-among the live ones for a request decides; one that cannot be reached is passed over, and
-what the platform's store tells stands in for boxes that are missing.
+for a request among those that are heard decides, and no other: while it does not answer, the
+request waits.  What the platform's store tells stands in for boxes that are missing.
 """
 
 import threading
@@ -15,7 +15,7 @@
 from seamhold_messages.hashing import hash64
 from seamhold_messages.work import Placed
 from seamhold_peers import PeerClient
-from seamhold_peers.client import BROKEN, TRIAL_SECONDS
+from seamhold_peers.client import ASK_SECONDS, BROKEN, TRIAL_SECONDS
 from seamhold_placement.rank import owners
 from seamhold_quarantine import (
     SUSPECT_ENDS,
@@ -38,7 +38,7 @@
 from .peering import Peering
 from .ports import Cancellation
 
-#: Boxes that are asked about a request before this box decides by itself.
+#: Boxes that are told of an engine's end, the one that decides and the next.
 OWNERS = 2
 #: Slack for an answer on its way from one thread to another, in seconds.
 SLACK_SECONDS = 0.1
@@ -128,14 +128,21 @@
         here = self._decider.ask(WantStanding(ask.request, service)).result()
         if here.verdict is not Verdict.ASK:
             return here
-        for client in self._owners(ask.request):
-            if client is None:
-                break
-            answer = self._answer(client.ask_trial(ask))
-            # One that has not heard of the ends yet cannot know who runs it.
-            if answer is not None and answer.verdict is not Verdict.RUN:
-                return answer
-        return self._decider.ask(AskTrial(ask)).result()
+        client = next(self._owners(ask.request), None)
+        if client is None:
+            return self._decider.ask(AskTrial(ask)).result()
+        answer = self._answer(client.ask_trial(ask), ASK_SECONDS)
+        # One that is slow may have let another run begin, and one that has not heard of the
+        # ends yet cannot know who runs it: to decide here ended an engine more at each box.
+        if answer is None or answer.verdict is Verdict.RUN:
+            return Permission(Verdict.WAIT)
+        return answer
+
+    def check_proof(self, request: str) -> None:
+        """Raise RequestQuarantined where another end has proven a request by now."""
+        here = self._decider.ask(WantStanding(request, '')).result()
+        if here.verdict is Verdict.REFUSE:
+            raise RequestQuarantined('engines ended under it', here.rest)
 
     def ended(self, identity: RequestIdentity, placed: Placed, on_trial: bool, wanted: bool) -> int:
         """An engine ended under a call; how many have under its request.
@@ -174,7 +181,7 @@
             if client is None:
                 told = told or 0
             elif told is None:
-                told = self._answer(self._tell_end(client, report))
+                told = self._answer(self._tell_end(client, report), TRIAL_SECONDS)
                 missed = missed or told is None
             else:
                 self._peering.submit(self._tell_or_join(client, report))
@@ -211,17 +218,17 @@
                 self._peering.submit(self._tell(client.end_trial(over)))
 
     def _owners(self, request: str) -> Iterator[PeerClient | None]:
-        """The boxes that are asked about a request, None for this one."""
-        for name in owners(request, self._peering.roster.live_boxes, OWNERS):
+        """The boxes that know of a request, the one that decides first; None for this one."""
+        for name in owners(request, self._peering.roster.heard_boxes, OWNERS):
             client = None if name == self._box else self._peering.client(name)
             if client is not None or name == self._box:
                 yield client
 
-    def _answer(self, work: Coroutine) -> object | None:
-        """What a peer answers, None if it does not in time."""
+    def _answer(self, work: Coroutine, seconds: float) -> object | None:
+        """What a peer answers, None if it does not within `seconds`."""
         future: Future = self._peering.submit(work)
         try:
-            return future.result(TRIAL_SECONDS + SLACK_SECONDS)
+            return future.result(seconds + SLACK_SECONDS)
         except (*BROKEN, FutureTimeout):
             future.cancel()
             self._metrics.count('trials.owner_unreachable')
