--- a/packages/router/seamhold/trials.py
+++ b/packages/router/seamhold/trials.py
@@ -1,8 +1,10 @@
 """Asks, for request threads, whether a request may run that engines ended under.
 
-Where nothing has ended this costs a look into an empty set.  The box that ranks first
-for a request among those that are heard decides, and no other: while it does not answer, the
-request waits.  What the platform's store tells stands in for boxes that are missing.
+Where nothing has ended this costs a look into an empty set.  The two boxes that rank first
+for a request among those that are heard decide: it runs alone by the word of both, so that
+boxes of which each knows another one less ask a box in common.  While one of them does not
+answer the request waits, for its patience.  What the platform's store tells stands in for boxes
+that are missing.
 """
 
 import threading
@@ -38,7 +40,7 @@
 from .peering import Peering
 from .ports import Cancellation
 
-#: Boxes that are told of an engine's end, the one that decides and the next.
+#: Boxes that are told of an engine's end, and decide together whether a suspect runs.
 OWNERS = 2
 #: Slack for an answer on its way from one thread to another, in seconds.
 SLACK_SECONDS = 0.1
@@ -109,7 +111,8 @@
         if self._cases.misses_boxes():
             self._cases.join(ask.request)
         while True:
-            permission = self._permission(ask, service)
+            is_late = self._environment.monotonic() >= ends
+            permission = self._permission(ask, service, is_late)
             if permission.verdict is Verdict.RUN:
                 return False
             if permission.verdict is Verdict.RUN_ALONE:
@@ -118,25 +121,40 @@
                 raise RequestQuarantined('engines ended under it', permission.rest)
             if cancellation.cancelled:
                 raise CallerLeft('the caller closed its connection')
-            if self._environment.monotonic() >= ends:
+            if is_late:
                 raise RequestOnTrial(
                     'it may only run alone, and does or cannot now', RETRY_AFTER_SECONDS
                 )
             self._environment.sleep(LOOK_SECONDS)
 
-    def _permission(self, ask: TrialAsk, service: str) -> Permission:
+    def _permission(self, ask: TrialAsk, service: str, is_late: bool) -> Permission:
         here = self._decider.ask(WantStanding(ask.request, service)).result()
         if here.verdict is not Verdict.ASK:
             return here
-        client = next(self._owners(ask.request), None)
+        granted = False
+        for client in self._owners(ask.request):
+            answer = self._owner_says(client, ask)
+            if answer is None and is_late:
+                continue
+            if answer is None or answer.verdict is not Verdict.RUN_ALONE:
+                if granted:
+                    self.over(ask.request, ask.run, well=False)
+                return answer or Permission(Verdict.WAIT)
+            granted = True
+        if granted:
+            return Permission(Verdict.RUN_ALONE)
+        return self._decider.ask(AskTrial(ask)).result()
+
+    def _owner_says(self, client: PeerClient | None, ask: TrialAsk) -> Permission | None:
+        """What one of the boxes that decide says, None where that tells nothing.
+
+        One that is slow may have let another run begin, and one that has not heard of the ends
+        yet cannot know who runs it: to pass them over at once ended an engine more at each box.
+        """
         if client is None:
             return self._decider.ask(AskTrial(ask)).result()
         answer = self._answer(client.ask_trial(ask), ASK_SECONDS)
-        # One that is slow may have let another run begin, and one that has not heard of the
-        # ends yet cannot know who runs it: to decide here ended an engine more at each box.
-        if answer is None or answer.verdict is Verdict.RUN:
-            return Permission(Verdict.WAIT)
-        return answer
+        return None if answer is None or answer.verdict is Verdict.RUN else answer
 
     def check_proof(self, request: str) -> None:
         """Raise RequestQuarantined where another end has proven a request by now."""
@@ -218,7 +236,7 @@
                 self._peering.submit(self._tell(client.end_trial(over)))
 
     def _owners(self, request: str) -> Iterator[PeerClient | None]:
-        """The boxes that know of a request, the one that decides first; None for this one."""
+        """The boxes that decide on a request, in their order; None for this one."""
         for name in owners(request, self._peering.roster.heard_boxes, OWNERS):
             client = None if name == self._box else self._peering.client(name)
             if client is not None or name == self._box:
