--- a/tests/test_limits_between_boxes.py
+++ b/tests/test_limits_between_boxes.py
@@ -90,27 +90,22 @@
 
     def test_what_a_box_that_leaves_still_runs_counts(self):
         # Its share went to the others at once, while its calls went on for as long as they took.
-        first, second, third = (TellingRouter(name) for name in NAMES)
-        fleet = (first, second, third)
-        for step in range(20):
-            for box in fleet:
-                box.tell(*(peer for peer in fleet if peer is not box), now=step / 10)
-                box.ask(step / 10)
+        first, second, third = fleet = [TellingRouter(name) for name in NAMES]
+        self.play(fleet, fleet, range(20))
+        self.assertGreater(third.running, 0)
         third.router.leave()
-        for step in range(20, 60):
-            for box in fleet:
-                box.tell(*(peer for peer in fleet if peer is not box), now=step / 10)
-                box.router.tick(step / 10)
-            first.ask(step / 10)
-            second.ask(step / 10)
+        self.play(fleet, [first, second], range(20, 60))
         self.assertEqual(LIMIT, first.running + second.running + third.running)
         for _ in range(third.running):
             third.router.limits.release('rush', ONE)
-        third.running = 0
-        for step in range(60, 90):
-            for box in fleet:
-                box.tell(*(peer for peer in fleet if peer is not box), now=step / 10)
-                box.router.tick(step / 10)
-            first.ask(step / 10)
-            second.ask(step / 10)
+        self.play(fleet, [first, second], range(60, 90))
         self.assertEqual(LIMIT, first.running + second.running)
+
+    def play(self, fleet: list[TellingRouter], asking: list[TellingRouter], tenths: range) -> None:
+        """Each tenth of a second all tell each other, and those asking ask for a call more."""
+        for tenth in tenths:
+            for box in fleet:
+                box.tell(*(peer for peer in fleet if peer is not box), now=tenth / 10)
+                box.router.tick(tenth / 10)
+                if box in asking:
+                    box.ask(tenth / 10)
