Sight: belief.changed names its sign and what the list says, engines out of use by reason as gauge and log

The record of the incident tells that more than half of the engines were out of use to boxes, and not why: belief.changed named a box or the list, no figure counted unused engines by reason, and an attempt's line had both means without the numbers of engines they are of. Now: sign and listed in belief.changed; seamhold_engines{service,use} on the metrics page; a line service.engines_unused when a service passes a third and when it comes back; engines and idle in an attempt's line; explain shows the service's lines beside those of its engines. The counts are made where the cached set of serving engines is made, so a look costs a dictionary read.

--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -7,6 +7,7 @@
 from .gossip import Event, EventKind, EventLog
 from .outliers import FailureCounts, outliers
 from .relay import RelayLog
+from .unused import ServiceUse, UnusedReason
 
 __all__ = [
     'BoxView',
@@ -20,6 +21,8 @@
     'EventLog',
     'FailureCounts',
     'RelayLog',
+    'ServiceUse',
     'Serving',
+    'UnusedReason',
     'outliers',
 ]
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -16,6 +16,10 @@
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Suspect
 
+from .unused import ServiceUse, UnusedReason, service_use
+
+#: The phase of an engine that is unused for a reason; for any other it is a suspect.
+PHASE_OF = {UnusedReason.LEAVING: Phase.LEAVING, UnusedReason.EVACUATED: Phase.EVACUATED}
 #: Share of its weight a newly seen engine starts with, and the steps to 1.
 RISING_STEPS = (0.25, 0.5, 0.75)
 
@@ -63,6 +67,7 @@
     calls a second; they are among `engines`.  `leaving` get no new work, for
     themselves or because their failure domain is evacuated, but still hold what
     they have read.  `avoided` get none either, since calls failed there, but live.
+    `unused` tells why, for each listed engine that gets none.
     """
 
     engines: dict[str, Engine]
@@ -71,6 +76,7 @@
     leaving: dict[str, Engine] = field(default_factory=dict)
     cold: frozenset[str] = frozenset()
     avoided: dict[str, Engine] = field(default_factory=dict)
+    unused: dict[str, UnusedReason] = field(default_factory=dict)
 
     @property
     def idle(self) -> dict[str, Engine]:
@@ -260,16 +266,24 @@
         state = self._states.get(name)
         if state is None or state.engine.phase is Phase.GONE:
             return Phase.GONE
-        if self._leaving.get(name) == state.engine.incarnation:
-            return Phase.LEAVING
-        if state.engine.failure_domain in self._evacuated:
-            return Phase.EVACUATED
+        reason = self._unused_reason(state, now)
+        return Phase.LIVE if reason is None else PHASE_OF.get(reason, Phase.SUSPECT)
+
+    def _unused_reason(self, state: _EngineState, now: float) -> UnusedReason | None:
+        """Why a listed engine gets no new work, None if it may get some."""
+        engine = state.engine
+        if self._leaving.get(engine.name) == engine.incarnation:
+            return UnusedReason.LEAVING
+        if engine.failure_domain in self._evacuated:
+            return UnusedReason.EVACUATED
+        if now < state.suspect_until:
+            return UnusedReason.UNREACHABLE if state.unreachable else UnusedReason.FAILING
+        if now < state.outlier_until:
+            return UnusedReason.OUTLIER
         reports = sum(now < until for until in state.reporters.values())
-        if now < max(state.suspect_until, state.outlier_until):
-            return Phase.SUSPECT
         if reports >= self.REPORTERS_FOR_SUSPECT:
-            return Phase.SUSPECT
-        return Phase.LIVE
+            return UnusedReason.REPORTED
+        return None
 
     def _weight(self, state: _EngineState, now: float) -> float:
         if not state.rising or self.rising_seconds <= 0:
@@ -300,6 +314,11 @@
             and self._leaving.get(name) != state.engine.incarnation
         ]
 
+    def use(self, service: str, now: float) -> ServiceUse:
+        """How many of a service's engines get new work, and why others do not."""
+        serving = self.serving(service, now)
+        return service_use(service, len(serving.engines), serving.unused.values())
+
     def phases(self, now: float) -> dict[str, Phase]:
         """The phase this box gives each listed engine."""
         return {name: self.phase(name, now) for name in self._states}
@@ -327,17 +346,18 @@
         found: dict[str, Engine] = {}
         suspects: dict[str, Engine] = {}
         leaving: dict[str, Engine] = {}
+        reasons: dict[str, UnusedReason] = {}
         until = math.inf
         for name, state in self._states.items():
-            if state.engine.service != service:
+            if state.engine.service != service or state.engine.phase is Phase.GONE:
                 continue
-            phase = self.phase(name, now)
-            if phase is Phase.LIVE:
+            reason = self._unused_reason(state, now)
+            if reason is None:
                 found[name] = state.engine
-            elif phase is Phase.SUSPECT:
-                suspects[name] = state.engine
-            elif phase in (Phase.LEAVING, Phase.EVACUATED):
-                leaving[name] = state.engine
+            else:
+                reasons[name] = reason
+                out = leaving if reason in PHASE_OF else suspects
+                out[name] = state.engine
             until = min(until, self._next_change(state, now))
         engines = found or suspects
         weights = {name: self._weight(self._states[name], now) for name in engines}
@@ -347,7 +367,8 @@
             for name, engine in suspects.items()
             if name not in engines and not self._states[name].unreachable
         }
-        return Serving(engines, weights, until, leaving, cold, avoided)
+        unused = {name: reason for name, reason in reasons.items() if name not in engines}
+        return Serving(engines, weights, until, leaving, cold, avoided, unused)
 
     def _next_change(self, state: _EngineState, now: float) -> float:
         """When time alone may change how an engine is treated."""
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -119,7 +119,8 @@
     the box knew on the engine and on the average one when it decided; `load_age` is
     how long before the engine had told it, in seconds, None if boxes told it.
     `mean_of_all` counts engines that leave, too, as the bound does; `silent` tells that
-    the engine did not answer this box.
+    the engine did not answer this box.  `engines` were those that might get the call, `idle`
+    those that are up and get no new work.
     """
 
     call_id: str
@@ -136,6 +137,8 @@
     load_age: float | None = None
     mean_of_all: float = 0.0
     silent: bool = False
+    engines: int = 0
+    idle: int = 0
 
 
 class Refused(Struct, frozen=True):
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -9,12 +9,12 @@
 from concurrent.futures import Future
 
 from seamhold_attempts.retry import Outcome
-from seamhold_membership import Digest
+from seamhold_membership import Digest, ServiceUse
 from seamhold_messages.errors import CallerLeft
 from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import Decision, Queued, Refused
 from seamhold_peers import FleetLists
-from seamhold_routing import Router, Versions
+from seamhold_routing import Router, Sign, Versions
 
 from .case_keeper import CaseKeeper
 from .decisions import (
@@ -85,6 +85,9 @@
         self.on_news: Callable[[], None] | None = None
         #: Told of each new list of boxes, wherever it comes from.
         self.on_boxes: Callable[[list[Box]], None] | None = None
+        #: Told with each look how many engines of each service are in use.
+        self.on_engine_uses: Callable[[list[ServiceUse]], None] | None = None
+        self._next_uses = 0.0
         self.handlers = {
             Admit: self._admit,
             Again: self._again,
@@ -124,6 +127,7 @@
         self._note_role(self._router.follows_store(now))
         self._router.store_lost = self.store_lost
         decisions = self._router.tick(now)
+        self._tell_uses(now)
         due = min(now + LOOK_SECONDS, self._router.next_due(now))
         self._next_tick = max(now + LOOK_MIN_SECONDS, due)
         self._deliver(decisions)
@@ -165,6 +169,11 @@
         if now >= self._next_tick:
             self.idle()
 
+    def _tell_uses(self, now: float) -> None:
+        if self.on_engine_uses is not None and now >= self._next_uses:
+            self._next_uses = now + LOOK_SECONDS
+            self.on_engine_uses(self._router.engine_uses(now))
+
     def _note_role(self, follows: bool) -> None:
         if follows != self.follows_store:
             self.follows_store = follows
@@ -173,8 +182,14 @@
 
     def _note_events(self) -> None:
         for belief in self._router.take_beliefs():
+            engine = self._router.engines.get(belief.subject)
             self.log.info(
-                'belief.changed', subject=belief.subject, phase=belief.phase, source=belief.source
+                'belief.changed',
+                subject=belief.subject,
+                phase=belief.phase,
+                source=belief.source,
+                sign=belief.sign,
+                listed=engine.phase if engine else None,
             )
         taken = self._router.events.taken
         if taken != self._events_taken:
@@ -211,7 +226,8 @@
             reply.set_result(Refused(message.call_id, CallerLeft.code, 'the caller left'))
 
     def _engine_leaving(self, message: EngineLeaving) -> None:
-        self._router.engine_leaving(message.engine, self._clock())
+        sign = Sign.MISDIRECTED if message.outcome is Outcome.MISDIRECTED else Sign.REFUSAL
+        self._router.engine_leaving(message.engine, self._clock(), sign)
         self._note_events()
 
     def _engine_told(self, message: EngineTold) -> None:
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -67,9 +67,10 @@
 
 
 class EngineLeaving(Struct):
-    """An engine told one of this box's calls that it is leaving."""
+    """An engine told one of this box's calls that it is leaving, by how that ended."""
 
     engine: str
+    outcome: Outcome = Outcome.ENGINE_REFUSED
 
 
 class EngineEnded(Ask):
--- a/packages/router/seamhold/explaining.py
+++ b/packages/router/seamhold/explaining.py
@@ -8,6 +8,7 @@
 
 ENDS = ('call.answered', 'call.failed')
 BELIEF_EVENT = 'belief.changed'
+USE_EVENT = 'service.engines_unused'
 #: What was believed of a request's engines so long before and after it belongs
 #: to its story.
 BELIEF_SPAN = timedelta(seconds=5)
@@ -88,7 +89,7 @@
     for line in lines:
         if line.fields.get('request_id') == request_id:
             story.lines.append(line)
-        elif line.event == BELIEF_EVENT:
+        elif line.event in (BELIEF_EVENT, USE_EVENT):
             beliefs.append(line)
         elif line.event == 'logs.dropped':
             story.dropped += int(line.fields.get('lines', 0))
@@ -97,12 +98,12 @@
     story.lines.sort(key=lambda line: line.at)
     end = next((line for line in reversed(story.lines) if line.event in ENDS), None)
     story.verdict = _verdict(end, story.dropped)
-    engines = {attempt['engine'] for attempt in _attempts(end)}
+    subjects = {attempt['engine'] for attempt in _attempts(end)}
+    if end is not None:
+        subjects.add(end.fields.get('service'))
     first, last = story.lines[0], story.lines[-1]
     story.lines += [
-        line
-        for line in beliefs
-        if line.fields.get('subject') in engines and _near(line, first, last)
+        line for line in beliefs if _subject(line) in subjects and _near(line, first, last)
     ]
     story.lines.sort(key=lambda line: line.at)
     return story
@@ -117,6 +118,11 @@
     return sorted(named + ends, key=lambda line: line.at)
 
 
+def _subject(line: LogLine) -> str | None:
+    """The engine or the service that a belief is of."""
+    return line.fields.get('subject') or line.fields.get('service')
+
+
 def _near(line: LogLine, first: LogLine, last: LogLine) -> bool:
     """Whether a line was written around the time between two others."""
     try:
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -24,6 +24,7 @@
 from ..decider import Decider
 from ..decisions import LiftCase, SetBoxes, SetEngines, SetEvacuations, UseSettings, WantReport
 from ..dialects import find_dialect
+from ..engine_uses import EngineUses
 from ..gate import Gate
 from ..keeper import SettingsKeeper
 from ..logs import BoundedStream, logger, setup_logs
@@ -113,6 +114,7 @@
             lambda: self.peering.roster.live_boxes,
         )
         self.decider.on_boxes = self._boxes_changed
+        self.decider.on_engine_uses = EngineUses(self.metrics).note
         self.gate = Gate(config.threads)
         first_state = FirstState(
             self._has_state, self.peering.wait_ready, lambda: self.decider.store_lost, clock
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -37,6 +37,8 @@
             'load': placed.load,
             'mean': placed.mean,
             'mean_of_all': placed.mean_of_all,
+            'engines': placed.engines,
+            'idle': placed.idle,
             'silent': placed.silent,
             'load_age': None if placed.load_age is None else round(placed.load_age, 3),
             'told': None if self.told is None else self.told.requests,
--- a/packages/router/seamhold/metrics.py
+++ b/packages/router/seamhold/metrics.py
@@ -11,6 +11,8 @@
 from msgspec import Struct, field
 from statsd import StatsClient
 
+from seamhold_membership import ServiceUse
+
 from .config import split_address
 
 PREFIX = 'seamhold'
@@ -60,6 +62,7 @@
         self._gauges: dict[str, float] = {}
         self._latencies: dict[Stage, Histogram] = {}
         self._belief_errors: dict[str, Histogram] = {}
+        self._engine_uses: dict[str, ServiceUse] = {}
         self._lock = threading.Lock()
         self._client = None
         if statsd:
@@ -94,6 +97,16 @@
         with self._lock:
             self._belief_errors.setdefault(service, Histogram(ERROR_BUCKETS)).add(calls)
 
+    def engine_use(self, use: ServiceUse) -> None:
+        """Note how many engines of a service get new work, and how many do not."""
+        with self._lock:
+            self._engine_uses[use.service] = use
+
+    def engine_uses(self) -> list[ServiceUse]:
+        """By service, how many engines get new work as far as this box believes."""
+        with self._lock:
+            return list(self._engine_uses.values())
+
     def counts(self) -> dict[str, int]:
         """All counters as they stand."""
         with self._lock:
--- a/packages/router/seamhold/metrics_page.py
+++ b/packages/router/seamhold/metrics_page.py
@@ -8,8 +8,12 @@
 from prometheus_client.registry import Collector
 from prometheus_client.utils import floatToGoString
 
+from seamhold_membership import UnusedReason
+
 from .metrics import PREFIX, Histogram, Metrics
 
+IN_USE = 'in_use'
+
 
 def page(metrics: Metrics) -> bytes:
     """Everything that `metrics` holds, as it stands."""
@@ -30,6 +34,7 @@
             yield GaugeMetricFamily(f'{PREFIX}_{name}', 'As it stands now', value=value)
         yield self._latencies()
         yield self._belief_errors()
+        yield self._engine_uses()
 
     def _events(self) -> CounterMetricFamily:
         events = CounterMetricFamily(
@@ -50,6 +55,18 @@
             calls.add_metric((stage.name, stage.service), _buckets(held), held.total)
         return calls
 
+    def _engine_uses(self) -> GaugeMetricFamily:
+        engines = GaugeMetricFamily(
+            f'{PREFIX}_engines',
+            'Listed engines that get new work from this box, and those that do not, by reason',
+            labels=('service', 'use'),
+        )
+        for use in self._metrics.engine_uses():
+            engines.add_metric((use.service, IN_USE), use.used)
+            for reason in UnusedReason:
+                engines.add_metric((use.service, reason), use.unused.get(reason, 0))
+        return engines
+
     def _belief_errors(self) -> HistogramMetricFamily:
         errors = HistogramMetricFamily(
             f'{PREFIX}_belief_error_calls',
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -21,6 +21,7 @@
 from .decider import Decider
 from .decisions import SetBoxes, SetEngines, UseSettings
 from .desk import CallDesk
+from .engine_uses import EngineUses
 from .engines import EngineClient
 from .entry import SPARE_THREADS, Entry, entry_application
 from .follower import ListFollower, SettingsFollower, box_from, engine_from
@@ -57,6 +58,7 @@
         clock = environment.monotonic
         self.platform = PlatformClient(config.platform_url)
         self.decider = Decider(Router(config.box, self.incarnation), clock)
+        self.decider.on_engine_uses = EngineUses(self.metrics).note
         self.keeper = SettingsKeeper(self.metrics, self._settings_changed)
         self.claims = ClaimWriter(self.platform, environment, self.metrics, self._control)
         self.tickets = TicketDesk(TicketBook(config.box, self.incarnation), clock)
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -7,13 +7,14 @@
 from msgspec.structs import replace
 
 from seamhold_attempts.retry import Outcome
+from seamhold_membership import ServiceUse
 from seamhold_messages.errors import NoEngine, SeamholdError
 from seamhold_messages.fleet import Phase
 from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
 from seamhold_placement import Chooser, ColdShares
 from seamhold_settings import Tree
 
-from .beliefs import Belief
+from .beliefs import Belief, Sign
 from .exchange import Knowledge, PeerExchange
 from .plans import plan_for
 from .service import ServiceRouter
@@ -65,6 +66,10 @@
         """The services that calls were for."""
         return self._services.keys()
 
+    def engine_uses(self, now: float) -> list[ServiceUse]:
+        """How many engines of each service that calls were for get new work."""
+        return [self._known.engines.use(name, now) for name in self._services]
+
     def use_settings(self, tree: Tree) -> None:
         """Put a tree in force; calls in flight go on."""
         self._tree = tree
@@ -166,7 +171,8 @@
     def _note_outcome(self, engine: str, outcome: Outcome, now: float) -> None:
         self._known.counts[f'outcome.{outcome}'] += 1
         if self._known.health.ended(engine, outcome, now):
-            self._known.beliefs.append(Belief(engine, Phase.SUSPECT, self._known.boxes.me))
+            suspect = Belief(engine, Phase.SUSPECT, self._known.boxes.me, Sign.CALL)
+            self._known.beliefs.append(suspect)
 
     def again(self, call_id: str, now: float, full_engine: str = '') -> list[Decision]:
         """Place a call anew, away from the engine of its last attempt.
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -21,7 +21,7 @@
 from seamhold_placement import HolderTable, LoadTable
 from seamhold_quarantine import Quarantine
 
-from .beliefs import HEARD_SOURCE, SILENCE_SOURCE, Belief, belief_from
+from .beliefs import HEARD_SOURCE, SILENCE_SOURCE, Belief, Sign, belief_from
 from .health import EngineHealth
 from .relaying import NEWS_SECONDS, Relaying
 from .watchers import WatcherSelection
@@ -158,15 +158,15 @@
             return
         suspect = Suspect(report.engine, report.incarnation_key)
         if known.engines.reported_failing(suspect, report.origin, now):
-            known.beliefs.append(Belief(suspect.engine, Phase.SUSPECT, report.origin))
+            known.beliefs.append(Belief(suspect.engine, Phase.SUSPECT, report.origin, Sign.TOLD))
 
-    def note(self, event: Event, now: float) -> None:
+    def note(self, event: Event, now: float, sign: Sign = Sign.TOLD) -> None:
         """Believe an exception that this box saw or a peer told, and relay it."""
         known = self._known
         if not known.events.add(event, len(known.boxes.peers()) + 1):
             return
         known.counts[f'event.{event.kind.name.lower()}'] += 1
-        known.beliefs.append(belief_from(event))
+        known.beliefs.append(belief_from(event, sign))
         if event.kind is EventKind.ENGINE_LEAVING:
             known.engines.leaving(event.subject, event.incarnation)
         elif event.kind is EventKind.BOX_LEAVING:
@@ -187,10 +187,10 @@
     def _note_silence(self, silent: set[str]) -> None:
         beliefs = self._known.beliefs
         for name in sorted(silent - self._silent):
-            beliefs.append(Belief(name, Phase.GONE, SILENCE_SOURCE))
+            beliefs.append(Belief(name, Phase.GONE, SILENCE_SOURCE, Sign.SILENCE))
         for name in sorted(self._silent - silent):
             if self._known.boxes.get(name) is not None:
-                beliefs.append(Belief(name, Phase.LIVE, HEARD_SOURCE))
+                beliefs.append(Belief(name, Phase.LIVE, HEARD_SOURCE, Sign.SILENCE))
         self._silent = silent
 
     def _tell_gone(self, name: str, now: float) -> None:
@@ -199,7 +199,8 @@
             return
         box = self._known.boxes.get(name)
         if box is not None and box.incarnation:
-            self.note(Event(EventKind.BOX_GONE, name, box.incarnation, self._box), now)
+            gone = Event(EventKind.BOX_GONE, name, box.incarnation, self._box)
+            self.note(gone, now, Sign.SILENCE)
 
     # What this box tells.
 
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -13,7 +13,7 @@
 
 from seamhold_attempts.retry import Outcome
 from seamhold_limits import WorkspaceLimits
-from seamhold_membership import BoxView, Digest, EngineView, Event, EventKind
+from seamhold_membership import BoxView, Digest, EngineView, Event, EventKind, ServiceUse
 from seamhold_messages.fleet import Box, Engine, Evacuation, Phase
 from seamhold_messages.hashing import hash64
 from seamhold_messages.work import Call, Decision, LoadReading
@@ -21,7 +21,7 @@
 from seamhold_quarantine import EndReport
 from seamhold_settings import Tree
 
-from .beliefs import LIST_SOURCE, OUTLIER_SOURCE, Belief, changes
+from .beliefs import LIST_SOURCE, OUTLIER_SOURCE, Belief, Sign, changes
 from .calls import BoxCalls
 from .exchange import Knowledge, PeerExchange, Versions
 from .health import EngineHealth
@@ -125,12 +125,12 @@
         self.exchange.hear(digest, now)
         return self._calls.drain(now)
 
-    def engine_leaving(self, name: str, now: float) -> None:
+    def engine_leaving(self, name: str, now: float, sign: Sign = Sign.REFUSAL) -> None:
         """An engine told this box that it takes no new work."""
         engine = self.engines.get(name)
         if engine is not None:
             event = Event(EventKind.ENGINE_LEAVING, name, engine.incarnation, self.box)
-            self.exchange.note(event, now)
+            self.exchange.note(event, now, sign)
 
     def engine_told(self, name: str, requests: int, sent_at: float, now: float) -> None:
         """An engine told with an answer how many calls run and wait there.
@@ -153,7 +153,7 @@
         if ended is None or self.engines.phase(ended.name, now) is Phase.LEAVING:
             return None
         if self.engines.failed(ended.name, now):
-            self.beliefs.append(Belief(ended.name, Phase.SUSPECT, self.box))
+            self.beliefs.append(Belief(ended.name, Phase.SUSPECT, self.box, Sign.CALL))
         return replace(report, end=replace(report.end, engine=hash64(ended.name)))
 
     def _started_again(self, engine: Engine) -> Engine | None:
@@ -228,7 +228,7 @@
         self._note_outage(now)
         for name in self.health.eject_outliers(self._calls.services, now):
             self.counts['engine.ejected'] += 1
-            self.beliefs.append(Belief(name, Phase.SUSPECT, OUTLIER_SOURCE))
+            self.beliefs.append(Belief(name, Phase.SUSPECT, OUTLIER_SOURCE, Sign.COMPARED))
         return self._calls.drain(now)
 
     def _note_outage(self, now: float) -> None:
@@ -239,7 +239,7 @@
             self.engines.outage_until = now + LIST_RECOVERY_SECONDS
             return
         for name in self.engines.drop_unlisted(now):
-            self.beliefs.append(Belief(name, Phase.GONE, LIST_SOURCE))
+            self.beliefs.append(Belief(name, Phase.GONE, LIST_SOURCE, Sign.LIST))
 
     def _share_between_live(self, now: float) -> None:
         self.limits.set_boxes(self.boxes.live(now), self.boxes.leaving_boxes(now))
@@ -279,6 +279,10 @@
         self.beliefs.clear()
         return taken
 
+    def engine_uses(self, now: float) -> list[ServiceUse]:
+        """How many engines of each service that calls were for get new work."""
+        return self._calls.engine_uses(now)
+
     @property
     def in_flight(self) -> int:
         """Calls that are placed or wait on this box."""
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -276,6 +276,8 @@
             self._loads.reading_age(choice.name, now),
             round(mean_of_all, 2),
             self._loads.silent(choice.name, now),
+            len(serving.engines),
+            len(serving.idle),
         )
 
     @staticmethod
--- /dev/null
+++ b/tests/test_engine_uses.py
@@ -0,0 +1,76 @@
+"""What operators are told of engines that get no new work."""
+
+import io
+import json
+
+import testtools
+
+from seamhold.engine_uses import EngineUses
+from seamhold.logs import setup_logs
+from seamhold.metrics import Metrics
+from seamhold_membership import EngineView, UnusedReason
+from seamhold_messages.fleet import Engine, Phase
+from seamhold_messages.hashing import hash32
+from seamhold_messages.work import Suspect
+
+SERVICE = 'llm'
+
+
+def view_of(*phases: Phase) -> EngineView:
+    view = EngineView()
+    names = [f'e{number}' for number in range(len(phases))]
+    view.set_list(
+        [
+            Engine(name, SERVICE, f'{name}:1', name, '1', phase=phase)
+            for name, phase in zip(names, phases, strict=True)
+        ],
+        0.0,
+    )
+    return view
+
+
+class TestUnusedEngines(testtools.TestCase):
+    def test_each_reason_is_counted(self):
+        view = view_of(Phase.LEAVING, *[Phase.LIVE] * 6)
+        view.set_evacuated(frozenset({'e1'}), 0.0)
+        view.failed('e2', 0.0)
+        view.failed('e3', 0.0, 0.5)
+        view.failed('e3', 0.0, 0.5)
+        view.eject('e4', 0.0)
+        for box in ('a', 'b', 'c'):
+            view.reported_failing(Suspect('e5', hash32('1')), box, 0.0)
+        use = view.use(SERVICE, 0.1)
+        self.assertEqual(1, use.used)
+        self.assertEqual(dict.fromkeys(UnusedReason, 1), use.unused)
+
+    def test_suspects_that_serve_since_nobody_else_does_are_in_use(self):
+        view = view_of(Phase.LIVE)
+        view.failed('e0', 0.0)
+        self.assertEqual((1, {}), (view.use(SERVICE, 0.1).used, view.use(SERVICE, 0.1).unused))
+
+
+class TestTelling(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.logs = io.StringIO()
+        setup_logs(self.logs)
+        self.metrics = Metrics()
+        self.uses = EngineUses(self.metrics)
+
+    def note(self, *phases: Phase) -> None:
+        self.uses.note([view_of(*phases).use(SERVICE, 0.0)])
+
+    def test_a_service_is_told_once_when_more_than_a_third_is_unused_and_once_after(self):
+        for _ in range(2):
+            self.note(Phase.LEAVING, Phase.LEAVING, Phase.LIVE)
+        self.note(Phase.LEAVING, Phase.LIVE, Phase.LIVE)
+        lines = [json.loads(line) for line in self.logs.getvalue().splitlines()]
+        self.assertEqual([True, False], [line['above_share'] for line in lines])
+        self.assertEqual((1, {'leaving': 2}), (lines[0]['used'], lines[0]['unused']))
+
+    def test_the_metrics_page_has_a_gauge_for_each_reason(self):
+        self.note(Phase.LEAVING, Phase.LIVE)
+        page = self.metrics.page().decode()
+        self.assertIn('seamhold_engines{service="llm",use="in_use"} 1.0', page)
+        self.assertIn('seamhold_engines{service="llm",use="leaving"} 1.0', page)
+        self.assertIn('seamhold_engines{service="llm",use="outlier"} 0.0', page)
