Only the platform's list says that an engine leaves: a refusal that closes, and a 421, do not

What callers saw: engines above twice the mean and three while others stood empty; then no engine at all. Cause: Connection: close in a refusal was told to all boxes as leaving, though the platform's pages have it now and then in other answers; a 421 likewise. Both held for the engine's life, whatever the list said. Change: the dialect reads nothing into the header; a 421 is evidence against the start that was expected, as a refused connection is: the box avoids it for 2 s, doubled if it goes on, a whole answer clears it. The product's own protocol, in which an engine says leaving in so many words, keeps its event. Why it holds: an engine that leaves says so in the list or its entry goes, which the platform acknowledges; until then it serves. Nothing that one answer says takes an engine from other boxes any more.

--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -188,7 +188,7 @@
         self._serving.clear()
 
     def leaving(self, name: str, incarnation: str) -> None:
-        """An engine said, or a peer told, that it takes no new work."""
+        """An engine said in so many words, or a peer told so, that it takes no new work."""
         self._leaving[name] = incarnation
         self._serving.clear()
 
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -14,7 +14,7 @@
 from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import Decision, Queued, Refused
 from seamhold_peers import FleetLists
-from seamhold_routing import Router, Sign, Versions
+from seamhold_routing import Router, Versions
 
 from .case_keeper import CaseKeeper
 from .decisions import (
@@ -226,8 +226,7 @@
             reply.set_result(Refused(message.call_id, CallerLeft.code, 'the caller left'))
 
     def _engine_leaving(self, message: EngineLeaving) -> None:
-        sign = Sign.MISDIRECTED if message.outcome is Outcome.MISDIRECTED else Sign.REFUSAL
-        self._router.engine_leaving(message.engine, self._clock(), sign)
+        self._router.engine_leaving(message.engine, self._clock())
         self._note_events()
 
     def _engine_told(self, message: EngineTold) -> None:
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -67,10 +67,9 @@
 
 
 class EngineLeaving(Struct):
-    """An engine told one of this box's calls that it is leaving, by how that ended."""
+    """An engine told one of this box's calls in so many words that it is leaving."""
 
     engine: str
-    outcome: Outcome = Outcome.ENGINE_REFUSED
 
 
 class EngineEnded(Ask):
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -211,12 +211,12 @@
         verdict = self._dialect.verdict(answer.status, answer.headers, request.request_id)
         answer.load = verdict.load
         if verdict.misdirected:
-            error = EngineMisdirected('another has its address', RETRY_AFTER_SECONDS)
-            raise AttemptFailed(Outcome.MISDIRECTED, error, leaving=True)
+            error = EngineMisdirected('it is not the one expected', RETRY_AFTER_SECONDS)
+            raise AttemptFailed(Outcome.MISDIRECTED, error)
         if verdict.refused:
             error = EngineRefused(f'it answered {answer.status}', RETRY_AFTER_SECONDS)
             refused = Outcome.ENGINE_REFUSED
-            raise AttemptFailed(refused, error, verdict.leaving, load=verdict.load)
+            raise AttemptFailed(refused, error, load=verdict.load)
         if not verdict.genuine:
             mismatch = AnswerMismatch(f'a {answer.status} that is not of this request')
             raise AttemptFailed(Outcome.FAILED, mismatch)
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -272,14 +272,13 @@
     """What the head of an answer says of the attempt.
 
     `genuine`: a backend server made it, and for this request.  `refused`: it
-    did not run the call.  `misdirected`: another incarnation has the address.
-    `leaving`: it takes no new work.
+    did not run the call.  `misdirected`: it is not the incarnation that was expected.
+    That a server leaves is told by the platform's list alone: no answer says so for certain.
     """
 
     genuine: bool
     refused: bool = False
     misdirected: bool = False
-    leaving: bool = False
     load: EngineLoad | None = None
 
 
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -229,7 +229,7 @@
             # ends engines faster than anybody learns of it.
             may_go_on = may_go_on and not job.on_trial and ends < SUSPECT_ENDS
         if failure.leaving:
-            self._decider.send(EngineLeaving(placed.engine, failure.outcome))
+            self._decider.send(EngineLeaving(placed.engine))
         self._metrics.count(f'attempt_failed.{failure.error.code}')
         if not may_go_on:
             self._decider.send(Attempted(job.call.id, failure.outcome))
--- a/packages/routing/seamhold_routing/beliefs.py
+++ b/packages/routing/seamhold_routing/beliefs.py
@@ -19,14 +19,13 @@
 class Sign(StrEnum):
     """What a belief rests on.
 
-    `CALL`: how one of this box's own calls ended.  `REFUSAL` and `MISDIRECTED`: what an
-    engine answered to one.  `TOLD`: a peer's word, whose own log has its sign.
+    `CALL`: how one of this box's own calls ended.  `REFUSAL`: an engine said so itself in
+    answer to one.  `TOLD`: a peer's word, whose own log has its sign.
     """
 
     LIST = 'list'
     CALL = 'call'
     REFUSAL = 'refusal'
-    MISDIRECTED = 'misdirected'
     COMPARED = 'compared'
     TOLD = 'told'
     SILENCE = 'silence'
--- a/packages/routing/seamhold_routing/health.py
+++ b/packages/routing/seamhold_routing/health.py
@@ -15,9 +15,12 @@
 from seamhold_messages.work import FailureReport
 
 #: What each way for a call to fail says against its engine.  A connection that
-#: is refused is proof; answers are lost, and calls fail, on good engines too.
+#: is refused is proof; answers are lost, and calls fail, on good engines too.  One that is
+#: not the start that was expected is avoided for a while only: the platform's list, not an
+#: answer, tells that a start is gone.
 EVIDENCE = {
     Outcome.NOT_SENT: 1.0,
+    Outcome.MISDIRECTED: 1.0,
     Outcome.FAILED: 0.5,
     Outcome.BROKEN: 0.5,
     Outcome.ANSWERED_FAILURE: 0.25,
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -125,12 +125,12 @@
         self.exchange.hear(digest, now)
         return self._calls.drain(now)
 
-    def engine_leaving(self, name: str, now: float, sign: Sign = Sign.REFUSAL) -> None:
-        """An engine told this box that it takes no new work."""
+    def engine_leaving(self, name: str, now: float) -> None:
+        """An engine told this box in so many words that it takes no new work."""
         engine = self.engines.get(name)
         if engine is not None:
             event = Event(EventKind.ENGINE_LEAVING, name, engine.incarnation, self.box)
-            self.exchange.note(event, now, sign)
+            self.exchange.note(event, now, Sign.REFUSAL)
 
     def engine_told(self, name: str, requests: int, sent_at: float, now: float) -> None:
         """An engine told with an answer how many calls run and wait there.
