A call that an engine refused because it is full is no failure of the engine

Cause: a refusal of any kind counted when engines are compared by their failures. Change: an engine that refuses with all its slots taken is full (ENGINE_FULL); other refusals still count, so one that sheds calls though it has room is found as before. Ruled out: leaving refusals out altogether (a server that refuses everything would draw calls until its entry goes).

--- a/packages/attempts/seamhold_attempts/retry.py
+++ b/packages/attempts/seamhold_attempts/retry.py
@@ -19,6 +19,7 @@
     DONE = 'done'
     NOT_SENT = 'not_sent'
     ENGINE_REFUSED = 'engine_refused'
+    ENGINE_FULL = 'engine_full'
     MISDIRECTED = 'misdirected'
     ANSWERED_FAILURE = 'answered_failure'
     FAILED = 'failed'
@@ -26,8 +27,12 @@
     CANCELLED = 'cancelled'
 
 
+#: The engine refused the call, because all its slots are taken or for another reason.
+REFUSALS = frozenset({Outcome.ENGINE_REFUSED, Outcome.ENGINE_FULL})
 #: After these the engine is certain not to have run the call.
-NOT_RUN = frozenset({Outcome.NOT_SENT, Outcome.ENGINE_REFUSED, Outcome.MISDIRECTED})
+NOT_RUN = frozenset(
+    {Outcome.NOT_SENT, Outcome.ENGINE_REFUSED, Outcome.ENGINE_FULL, Outcome.MISDIRECTED}
+)
 #: After these a call that may be repeated is worth another engine.
 FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.ANSWERED_FAILURE})
 
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 
-from seamhold_attempts.retry import Outcome
+from seamhold_attempts.retry import REFUSALS
 from seamhold_membership import Digest, ServiceUse
 from seamhold_messages.errors import CallerLeft
 from seamhold_messages.fleet import Box, Engine, Evacuation
@@ -207,8 +207,7 @@
         decisions = self._router.attempted(message.call_id, message.outcome, now)
         self._router.exclude(message.call_id, message.failed_engine)
         self._replies[message.call_id] = message.reply
-        refused = message.outcome is Outcome.ENGINE_REFUSED
-        full_engine = message.failed_engine if refused else ''
+        full_engine = message.failed_engine if message.outcome in REFUSALS else ''
         self._deliver(decisions + self._router.again(message.call_id, now, full_engine))
         return message
 
--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -24,6 +24,7 @@
 REASON_HEADER = 'X-Reason'
 RESUME_HEADER = 'X-Resume-Offset'
 LEAVING_REASON = 'leaving'
+FULL_REASON = 'busy'
 CONNECT_SECONDS = 1.0
 #: The longest pause inside an answer that has begun.
 STALL_SECONDS = 30.0
@@ -137,7 +138,9 @@
         if status in (429, 503) and headers.get(RAN_HEADER) == 'no':
             reason = headers.get(REASON_HEADER, '')
             refused = EngineRefused(f'the engine refused: {reason or status}', 1.0)
-            return AttemptFailed(Outcome.ENGINE_REFUSED, refused, reason == LEAVING_REASON)
+            full = reason == FULL_REASON
+            outcome = Outcome.ENGINE_FULL if full else Outcome.ENGINE_REFUSED
+            return AttemptFailed(outcome, refused, reason == LEAVING_REASON)
         if status >= 500:
             return AttemptFailed(Outcome.FAILED, EngineFailed(f'the engine answered {status}'))
         if headers.get(REQUEST_ID_HEADER) != request.request_id and status < 400:
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -215,7 +215,8 @@
             raise AttemptFailed(Outcome.MISDIRECTED, error)
         if verdict.refused:
             error = EngineRefused(f'it answered {answer.status}', RETRY_AFTER_SECONDS)
-            refused = Outcome.ENGINE_REFUSED
+            full = verdict.load is not None and verdict.load.is_full
+            refused = Outcome.ENGINE_FULL if full else Outcome.ENGINE_REFUSED
             raise AttemptFailed(refused, error, load=verdict.load)
         if not verdict.genuine:
             mismatch = AnswerMismatch(f'a {answer.status} that is not of this request')
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -59,6 +59,11 @@
         """All calls there."""
         return self.running + self.waiting
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all slots are taken."""
+        return self.running >= self.slots
+
 
 class Refusal(StrEnum):
     """Why a backend server refused a call, as far as its answer tells.
@@ -106,7 +111,7 @@
             return Refusal.LEAVING
         if self.load is None:
             return Refusal.UNTOLD
-        return Refusal.SLOTS_TAKEN if self.load.running >= self.load.slots else Refusal.SLOTS_FREE
+        return Refusal.SLOTS_TAKEN if self.load.is_full else Refusal.SLOTS_FREE
 
 
 class Cancellation:
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -6,7 +6,7 @@
 
 from msgspec.structs import replace
 
-from seamhold_attempts.retry import NOT_RUN, Outcome, may_retry
+from seamhold_attempts.retry import NOT_RUN, REFUSALS, Outcome, may_retry
 from seamhold_messages.errors import (
     AnswerCut,
     AnswerMismatch,
@@ -194,7 +194,7 @@
                 job.sent += 1
             elif not failure.nobody_listens:
                 job.silent += 1
-            if failure.outcome is Outcome.ENGINE_REFUSED:
+            if failure.outcome in REFUSALS:
                 job.attempts[-1].refusal = failure.refusal
                 self._metrics.count(f'engine_refused.{failure.refusal}')
             self._note_load(job, placed, failure.load)
--- a/packages/routing/seamhold_routing/health.py
+++ b/packages/routing/seamhold_routing/health.py
@@ -25,7 +25,8 @@
     Outcome.BROKEN: 0.5,
     Outcome.ANSWERED_FAILURE: 0.25,
 }
-#: Ways for a call to fail that count when engines are compared.
+#: Ways for a call to fail that count when engines are compared.  To be full is none: in a rush
+#: the engines that hold a wanted prompt would be avoided for it, and the others filled.
 COMPARED = frozenset(
     {Outcome.FAILED, Outcome.BROKEN, Outcome.ANSWERED_FAILURE, Outcome.ENGINE_REFUSED}
 )
--- a/tests/test_engine_view.py
+++ b/tests/test_engine_view.py
@@ -85,6 +85,13 @@
         (report,) = health.new_reports('me', 1.4)
         self.assertEqual(hash32('1'), report.incarnation_key)
 
+    def test_an_engine_that_is_full_does_not_fail(self):
+        health = EngineHealth(EngineView())
+        for number in range(20):
+            health.ended('full', Outcome.ENGINE_FULL, number / 10)
+        health.ended('other', Outcome.ENGINE_REFUSED, 2.0)
+        self.assertEqual({'other': 1}, health.failures.own(2.0))
+
     def test_an_outlier_is_avoided_though_it_answers_now_and_then(self):
         view = EngineView(suspect_seconds=2)
         view.set_list([engine('a'), engine('b')], 0.0)
