No more than a third of a service's engines is out of use because calls fail there

What callers saw, or may see: half of a service avoided though it lives, the other half filled above the promise. A box's own evidence, three boxes' reports and the comparison add up freely. Chosen: a third, the setting placement.max_ejection_share, as load balancers have (max ejection percent, panic threshold). Beyond it those are used again whose time is up first. Not counted: engines that refuse connections, which do not live, and those that the platform says leave. The new test of half and two thirds of the engines fails without it.

--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -89,7 +89,8 @@
 
     `rising_seconds` is how long an engine takes to its full weight after it
     joins; `suspect_seconds` is how long this box avoids an engine after its
-    own calls failed there, doubled for each time in a row.  Until
+    own calls failed there, doubled for each time in a row.  Of the engines of a service
+    that live no more than `max_ejection_share` is avoided, or one.  Until
     `outage_until` an engine that drops off the list keeps serving: entries
     lapse while the platform is away, and engines that live write them anew.
     `cold_seconds` is, by service, how long an engine bears less after a start.
@@ -111,6 +112,7 @@
     def __init__(self, rising_seconds: float = 10.0, suspect_seconds: float = 2.0):
         self.rising_seconds = rising_seconds
         self.suspect_seconds = suspect_seconds
+        self.max_ejection_share = 1.0
         self.outage_until = -math.inf
         self.cold_seconds: dict[str, float] = {}
         self._evacuated: frozenset[str] = frozenset()
@@ -269,6 +271,26 @@
         reason = self._unused_reason(state, now)
         return Phase.LIVE if reason is None else PHASE_OF.get(reason, Phase.SUSPECT)
 
+    @staticmethod
+    def _avoided_until(state: _EngineState) -> float:
+        """When an engine would be used again if nothing more fails."""
+        return max(state.suspect_until, state.outlier_until, *state.reporters.values(), 0.0)
+
+    def _beyond_ejection_limit(
+        self, found: dict[str, Engine], suspects: dict[str, Engine]
+    ) -> list[str]:
+        """The suspects to use all the same: those whose time is up first.
+
+        Each sign by itself is weak and several add up: without a limit a service whose
+        engines all fail a little loses most of them, and the rest is filled above what is
+        promised (the panic threshold of the load balancers in the field).  Engines that
+        refuse connections are not alive and no part of this.
+        """
+        alive = [name for name in suspects if not self._states[name].unreachable]
+        limit = max(1, int(self.max_ejection_share * (len(found) + len(alive))))
+        alive.sort(key=lambda name: self._avoided_until(self._states[name]))
+        return alive[: max(0, len(alive) - limit)]
+
     def _unused_reason(self, state: _EngineState, now: float) -> UnusedReason | None:
         """Why a listed engine gets no new work, None if it may get some."""
         engine = state.engine
@@ -359,6 +381,7 @@
                 out = leaving if reason in PHASE_OF else suspects
                 out[name] = state.engine
             until = min(until, self._next_change(state, now))
+        found |= {name: suspects[name] for name in self._beyond_ejection_limit(found, suspects)}
         engines = found or suspects
         weights = {name: self._weight(self._states[name], now) for name in engines}
         cold = frozenset(name for name in engines if now < self._states[name].cold_until)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -90,6 +90,7 @@
         placement = tree.fleet.placement
         self.engines.rising_seconds = placement.rising_seconds
         self.engines.suspect_seconds = placement.suspect_seconds
+        self.engines.max_ejection_share = placement.max_ejection_share
         self.engines.cold_seconds = {
             name: service.cold_seconds for name, service in tree.fleet.services.items()
         }
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -142,8 +142,9 @@
 
     `load_multiple` is promised, `admit_multiple` is what admission holds to, or
     `admit_share` of the promise where that is given.  `patience` is how long a call
-    waits for the engine that holds its cache before it goes to another.  Times are
-    in seconds.
+    waits for the engine that holds its cache before it goes to another.  Of a service's
+    engines that live no more than `max_ejection_share` is out of use because calls fail
+    there, but one always may be.  Times are in seconds.
     """
 
     load_multiple: Annotated[float, Meta(ge=1.05, le=10)] = 1.5
@@ -155,6 +156,7 @@
     patience: Annotated[float, Meta(ge=0, le=2)] = 0.1
     rising_seconds: Annotated[float, Meta(ge=0, le=600)] = 10.0
     suspect_seconds: Annotated[float, Meta(gt=0, le=60)] = 2.0
+    max_ejection_share: Annotated[float, Meta(ge=0, le=1)] = 1 / 3
 
     def __post_init__(self):
         if self.admitted_multiple > self.load_multiple:
--- a/tests/test_avoided_engines.py
+++ b/tests/test_avoided_engines.py
@@ -35,6 +35,24 @@
             self.view.eject(name, 0.0)
         self.assertEqual(set(), self.avoided())
 
+    def test_no_more_than_the_limit_are_and_those_go_first_whose_time_is_up_first(self):
+        self.view.max_ejection_share = 1 / 3
+        for now, name in enumerate('abc'):
+            self.view.eject(name, now / 10)
+        self.assertEqual({'c'}, set(self.view.serving(SERVICE, 0.3).idle))
+        self.assertEqual({'a', 'b'}, set(self.view.serving(SERVICE, 0.3).engines))
+
+    def test_one_always_may_be(self):
+        self.view.max_ejection_share = 0.0
+        self.view.eject('a', 0.0)
+        self.assertEqual({'a'}, self.avoided())
+
+    def test_one_that_refuses_connections_is_not_counted_in_the_limit(self):
+        self.view.max_ejection_share = 1 / 3
+        self.view.failed('a', 0.0)
+        self.view.eject('b', 0.0)
+        self.assertEqual({'c'}, set(self.view.serving(SERVICE, 0.0).engines))
+
     def test_it_is_served_again_once_it_answers(self):
         self.view.failed('a', 0.0)
         self.view.answered('a')
--- a/tests/test_bound_while_engines_are_avoided.py
+++ b/tests/test_bound_while_engines_are_avoided.py
@@ -18,19 +18,21 @@
 BOXES = 8
 ENGINES = 9
 AVOIDED = 4
+CALLS_PER_SECOND = 118.0
 SETTLED_SECONDS = 4.0
 STEP_SECONDS = 0.5
 STEPS = 12
 
 
-def play(seed: int) -> DelayedFleet:
-    """A fleet of which every box finds the same four engines to fail, again and again."""
-    traffic = Traffic(calls_per_second=118.0, chats=500, call_seconds=0.8)
-    fleet = DelayedFleet(BOXES, ENGINES, Delays(), traffic, seed)
+def play(seed: int, engines: int = ENGINES, avoided: int = AVOIDED) -> DelayedFleet:
+    """A fleet of which every box finds the same engines to fail, again and again."""
+    rate = CALLS_PER_SECOND * engines / ENGINES
+    traffic = Traffic(calls_per_second=rate, chats=500, call_seconds=0.8)
+    fleet = DelayedFleet(BOXES, engines, Delays(), traffic, seed)
     fleet.run(SETTLED_SECONDS)
     for _ in range(STEPS):
         for box in fleet.boxes.values():
-            for engine in fleet.engines[:AVOIDED]:
+            for engine in fleet.engines[:avoided]:
                 box.router.engines.eject(engine.name, fleet.now)
         fleet.run(STEP_SECONDS)
     return fleet
@@ -42,3 +44,8 @@
             fleet = play(seed)
             self.assertEqual(0, fleet.broken_windows(SETTLED_SECONDS), seed)
             self.assertEqual(0, fleet.refused)
+
+    def test_so_they_do_where_most_fail_a_little(self):
+        for engines, avoided in ((9, 6), (18, 9)):
+            fleet = play(1, engines, avoided)
+            self.assertEqual(0, fleet.broken_windows(SETTLED_SECONDS), avoided)
