--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -194,16 +194,17 @@
         self._leaving[name] = incarnation
         self._serving.clear()
 
-    def failed(self, name: str, now: float, evidence: float = 1.0) -> bool:
+    def failed(self, name: str, now: float, evidence: float = 1.0, answered: bool = False) -> bool:
         """One of this box's calls failed; True if that makes the engine suspect.
 
-        `evidence` is 1 where one call is proof enough.
+        `evidence` is 1 where one call is proof enough; `answered` tells that somebody answers
+        at its address all the same.
         """
         state = self._states.get(name)
         if state is None:
             return False
         state.evidence += evidence
-        state.unreachable = evidence >= self.EVIDENCE_MAX
+        state.unreachable = evidence >= self.EVIDENCE_MAX and not answered
         if state.evidence < self.EVIDENCE_MAX:
             return False
         state.flaps = min(state.flaps + 1, self.FLAPS_MAX)
--- a/packages/routing/seamhold_routing/health.py
+++ b/packages/routing/seamhold_routing/health.py
@@ -69,7 +69,8 @@
             self._engines.answered(engine)
             return False
         evidence = EVIDENCE.get(outcome)
-        if evidence is None or not self._engines.failed(engine, now, evidence):
+        answered = outcome is Outcome.MISDIRECTED
+        if evidence is None or not self._engines.failed(engine, now, evidence, answered):
             return False
         self._untold[engine] = None
         return True
--- a/tests/test_avoided_engines.py
+++ b/tests/test_avoided_engines.py
@@ -2,8 +2,10 @@
 
 import testtools
 
+from seamhold_attempts.retry import Outcome
 from seamhold_membership import EngineView
 from seamhold_messages.fleet import Engine
+from seamhold_routing.health import EngineHealth
 
 SERVICE = 'llm'
 
@@ -30,6 +32,10 @@
         self.view.failed('a', 0.0)
         self.assertEqual(set(), self.avoided())
 
+    def test_one_that_says_it_is_not_the_one_expected_lives(self):
+        EngineHealth(self.view).ended('a', Outcome.MISDIRECTED, 0.0)
+        self.assertEqual({'a'}, self.avoided())
+
     def test_those_that_serve_since_nobody_else_does_are_not_avoided(self):
         for name in 'abc':
             self.view.eject(name, 0.0)
