What calls say against one start of an engine is a module of its own, engine_view keeps the list and the phases

Suspicion (evidence, flaps, reporters, ejections) moves as it was, with its constants; no rule changes.

--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -16,6 +16,7 @@
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Suspect
 
+from .suspicion import Suspicion
 from .unused import ServiceUse, UnusedReason, service_use
 
 #: The phase of an engine that is unused for a reason; for any other it is a suspect.
@@ -46,18 +47,9 @@
     engine: Engine
     since: float
     rising: bool = False
-    suspect_since: float = -math.inf
-    suspect_until: float = 0.0
-    flaps: int = 0
-    #: Evidence against it since its last whole answer, and whether that was proof.
-    evidence: float = 0.0
-    unreachable: bool = False
-    reporters: dict[str, float] = field(default_factory=dict)
-    #: It fails more than its siblings; answers do not clear this.
-    outlier_until: float = -math.inf
-    ejections: int = 0
     #: Until then it bears few calls a second.
     cold_until: float = -math.inf
+    suspicion: Suspicion = field(default_factory=Suspicion)
 
 
 class Serving(Struct, frozen=True):
@@ -96,19 +88,6 @@
     `cold_seconds` is, by service, how long an engine bears less after a start.
     """
 
-    #: Evidence that makes an engine suspect: each failed call adds a part.
-    EVIDENCE_MAX = 1.0
-
-    FLAPS_MAX = 5
-    #: Times in a row that double how long an outlier is avoided, and after what
-    #: time in service it is taken as healed.
-    EJECTIONS_MAX = 3
-    OUTLIER_MEMORY_SECONDS = 10.0
-    REPORTERS_FOR_SUSPECT = 3
-    REPORT_SECONDS = 5.0
-    #: How long a suspicion is told with what more fails.
-    TELL_SECONDS = 3.0
-
     def __init__(self, rising_seconds: float = 10.0, suspect_seconds: float = 2.0):
         self.rising_seconds = rising_seconds
         self.suspect_seconds = suspect_seconds
@@ -203,13 +182,8 @@
         state = self._states.get(name)
         if state is None:
             return False
-        state.evidence += evidence
-        state.unreachable = evidence >= self.EVIDENCE_MAX and not answered
-        if state.evidence < self.EVIDENCE_MAX:
+        if not state.suspicion.failed(now, evidence, answered, self.suspect_seconds):
             return False
-        state.flaps = min(state.flaps + 1, self.FLAPS_MAX)
-        state.suspect_since = now
-        state.suspect_until = now + self.suspect_seconds * 2 ** (state.flaps - 1)
         self._serving.clear()
         return True
 
@@ -218,13 +192,7 @@
         state = self._states.get(name)
         if state is None:
             return
-        state.evidence = 0.0
-        state.unreachable = False
-        if state.flaps or state.reporters:
-            state.flaps = 0
-            state.suspect_since = -math.inf
-            state.suspect_until = 0.0
-            state.reporters.clear()
+        if state.suspicion.answered():
             self._serving.clear()
 
     def eject(self, name: str, now: float) -> bool:
@@ -234,12 +202,8 @@
         and fails again.
         """
         state = self._states.get(name)
-        if state is None or now < state.outlier_until:
+        if state is None or not state.suspicion.eject(now, self.suspect_seconds):
             return False
-        if now > state.outlier_until + self.OUTLIER_MEMORY_SECONDS:
-            state.ejections = 0
-        state.outlier_until = now + self.suspect_seconds * 2**state.ejections
-        state.ejections = min(state.ejections + 1, self.EJECTIONS_MAX)
         self._serving.clear()
         return True
 
@@ -249,7 +213,7 @@
         0 if they did not.
         """
         state = self._states.get(name)
-        if state is None or now >= state.suspect_since + self.TELL_SECONDS:
+        if state is None or not state.suspicion.is_told(now):
             return 0
         return hash32(state.engine.incarnation)
 
@@ -258,8 +222,7 @@
         state = self._states.get(suspect.engine)
         if state is None or hash32(state.engine.incarnation) != suspect.incarnation_key:
             return False
-        is_new = state.reporters.get(box, -math.inf) <= now
-        state.reporters[box] = now + self.REPORT_SECONDS
+        is_new = state.suspicion.reported(box, now)
         if is_new:
             self._serving.clear()
         return is_new
@@ -272,11 +235,6 @@
         reason = self._unused_reason(state, now)
         return Phase.LIVE if reason is None else PHASE_OF.get(reason, Phase.SUSPECT)
 
-    @staticmethod
-    def _avoided_until(state: _EngineState) -> float:
-        """When an engine would be used again if nothing more fails."""
-        return max(state.suspect_until, state.outlier_until, *state.reporters.values(), 0.0)
-
     def _beyond_ejection_limit(
         self, found: dict[str, Engine], suspects: dict[str, Engine]
     ) -> list[str]:
@@ -287,9 +245,10 @@
         promised (the panic threshold of the load balancers in the field).  Engines that
         refuse connections are not alive and no part of this.
         """
-        alive = [name for name in suspects if not self._states[name].unreachable]
+        suspicions = {name: self._states[name].suspicion for name in suspects}
+        alive = [name for name, suspicion in suspicions.items() if not suspicion.unreachable]
         limit = max(1, int(self.max_ejection_share * (len(found) + len(alive))))
-        alive.sort(key=lambda name: self._avoided_until(self._states[name]))
+        alive.sort(key=lambda name: max(suspicions[name].ends))
         return alive[: max(0, len(alive) - limit)]
 
     def _unused_reason(self, state: _EngineState, now: float) -> UnusedReason | None:
@@ -299,14 +258,7 @@
             return UnusedReason.LEAVING
         if engine.failure_domain in self._evacuated:
             return UnusedReason.EVACUATED
-        if now < state.suspect_until:
-            return UnusedReason.UNREACHABLE if state.unreachable else UnusedReason.FAILING
-        if now < state.outlier_until:
-            return UnusedReason.OUTLIER
-        reports = sum(now < until for until in state.reporters.values())
-        if reports >= self.REPORTERS_FOR_SUSPECT:
-            return UnusedReason.REPORTED
-        return None
+        return state.suspicion.reason(now)
 
     def _weight(self, state: _EngineState, now: float) -> float:
         if not state.rising or self.rising_seconds <= 0:
@@ -389,15 +341,14 @@
         avoided = {
             name: engine
             for name, engine in suspects.items()
-            if name not in engines and not self._states[name].unreachable
+            if name not in engines and not self._states[name].suspicion.unreachable
         }
         unused = {name: reason for name, reason in reasons.items() if name not in engines}
         return Serving(engines, weights, until, leaving, cold, avoided, unused)
 
     def _next_change(self, state: _EngineState, now: float) -> float:
         """When time alone may change how an engine is treated."""
-        times = [state.suspect_until, state.outlier_until, state.cold_until]
-        times += state.reporters.values()
+        times = [*state.suspicion.ends, state.cold_until]
         if state.rising:
             step = self.rising_seconds / len(RISING_STEPS)
             times += [state.since + step * number for number in range(1, len(RISING_STEPS) + 1)]
--- a/tests/test_engine_view.py
+++ b/tests/test_engine_view.py
@@ -13,6 +13,7 @@
     outliers,
 )
 from seamhold_membership.outliers import TOLD_SECONDS
+from seamhold_membership.suspicion import TELL_SECONDS
 from seamhold_messages.fleet import Engine, Phase
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import FailureReport, Suspect
@@ -222,7 +223,7 @@
         view.set_list([engine('a')], 0.0)
         self.assertTrue(view.failed('a', 1.0))
         self.assertEqual(hash32('1'), view.suspicion('a', 2.0))
-        self.assertEqual(0, view.suspicion('a', 1.0 + EngineView.TELL_SECONDS))
+        self.assertEqual(0, view.suspicion('a', 1.0 + TELL_SECONDS))
         view.failed('a', 9.0)
         self.assertEqual(hash32('1'), view.suspicion('a', 9.5))
         view.answered('a')
