Lists and settings have their follower each in a module of its own

Two of the broken variants name the places as they stand now: without that they would have found nothing to break. 39 tests of followers, settings, the store and whole boxes pass.

--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -18,8 +18,9 @@
 from ..clock import boot_seconds
 from ..decider import Decider
 from ..decisions import StoreAnswered
-from ..follower import OFFER_SECONDS, Follower, ListFollower
-from ..keeper import Offer, SettingsKeeper
+from ..follower import Follower
+from ..keeper import OFFER_SECONDS, Offer, SettingsKeeper
+from ..list_follower import ListFollower
 from ..metrics import Metrics
 from ..ports import ObjectStore
 
--- a/packages/router/seamhold/keeper.py
+++ b/packages/router/seamhold/keeper.py
@@ -15,6 +15,9 @@
 from .metrics import Metrics
 from .tasks import Ask, Task
 
+#: How long an offer may take to be answered.
+OFFER_SECONDS = 5.0
+
 
 class SettingsSnapshot(Struct, frozen=True):
     """What is in force: the tree, and what peers compare."""
--- /dev/null
+++ b/packages/router/seamhold/list_follower.py
@@ -0,0 +1,108 @@
+"""Follows one of the platform's lists, and reads its entries in the product's own protocol."""
+
+import random
+from collections.abc import Callable
+
+from seamhold_messages.errors import EntryUnreadable
+from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_platform import ObjectKind, PlatformObject, WatchKind
+
+from .follower import Follower
+from .metrics import Metrics
+from .ports import ObjectStore
+
+#: Calls at once for an engine whose listing does not say.
+DEFAULT_SLOTS = 64
+#: Of so many entries that cannot be read the logs tell; the rest are counted.
+UNREADABLE_TOLD_MAX = 50
+
+
+def engine_from(item: PlatformObject) -> Engine:
+    """An engine as the platform lists it."""
+    spec = item.spec
+    return Engine(
+        item.name,
+        str(spec.get('service', '')),
+        str(spec.get('address', '')),
+        str(spec.get('failure_domain', '')),
+        str(spec.get('incarnation', '')),
+        int(spec.get('slots', DEFAULT_SLOTS)),
+        float(spec.get('weight', 1.0)),
+        Phase(spec.get('phase', Phase.LIVE)),
+    )
+
+
+def box_from(item: PlatformObject) -> Box:
+    """A box as the platform lists it."""
+    spec = item.spec
+    return Box(
+        item.name,
+        str(spec.get('peer_address', '')),
+        str(spec.get('failure_domain', '')),
+        '',
+        Phase(spec.get('phase', Phase.LIVE)),
+    )
+
+
+class ListFollower(Follower):
+    """Follows a list and hands it on whole after each change."""
+
+    def __init__(
+        self,
+        kind: ObjectKind,
+        platform: ObjectStore,
+        metrics: Metrics,
+        chance: random.Random,
+        read: Callable[[PlatformObject], object],
+        deliver: Callable[[list], None],
+    ):
+        self.kind = kind
+        super().__init__(platform, metrics, chance)
+        self._read = read
+        self._deliver = deliver
+        self._items: dict[str, object] = {}
+        #: What was told of entries that cannot be read, by name.
+        self._unreadable: dict[str, str] = {}
+
+    def listed(self, objects: list[PlatformObject]) -> None:
+        """Replace all items."""
+        self._items = {}
+        for item in objects:
+            self._put(item)
+        self._deliver(list(self._items.values()))
+
+    def changed(self, kind: WatchKind, item: PlatformObject) -> None:
+        """Replace or drop one item."""
+        self._note(kind, item)
+        self._deliver(list(self._items.values()))
+
+    def _note(self, kind: WatchKind, item: PlatformObject) -> None:
+        if kind is WatchKind.DELETED:
+            self._items.pop(item.name, None)
+        else:
+            self._put(item)
+
+    def _put(self, item: PlatformObject) -> None:
+        try:
+            self._items[item.name] = self._read(item)
+            self._unreadable.pop(item.name, None)
+        except EntryUnreadable as error:
+            self._leave_out(item, error)
+        except (AttributeError, TypeError, ValueError) as error:
+            self._leave_out(item, EntryUnreadable(repr(error)))
+
+    def _leave_out(self, item: PlatformObject, error: EntryUnreadable) -> None:
+        """It names nothing that could be used, whatever stood there before."""
+        self._items.pop(item.name, None)
+        self._note_unreadable(item, error)
+
+    def _note_unreadable(self, item: PlatformObject, error: EntryUnreadable) -> None:
+        """Count it; told once for each cause, and of so many entries at most."""
+        self.metrics.count(f'{error.code}.{self.kind}')
+        if self._unreadable.get(item.name) == error.detail:
+            return
+        if len(self._unreadable) < UNREADABLE_TOLD_MAX or item.name in self._unreadable:
+            self._unreadable[item.name] = error.detail
+            self.log.warning(
+                'list.unreadable', object=item.name, code=error.code, detail=error.detail
+            )
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -24,9 +24,9 @@
 from .engine_uses import EngineUses
 from .engines import EngineClient
 from .entry import SPARE_THREADS, Entry, entry_application
-from .follower import ListFollower, SettingsFollower, box_from, engine_from
 from .gate import Gate
 from .keeper import SettingsKeeper
+from .list_follower import ListFollower, box_from, engine_from
 from .logs import logger
 from .metrics import Metrics
 from .operators import Operators, operator_application
@@ -35,6 +35,7 @@
 from .peer_handler import BoxPeerHandler
 from .peering import Peering
 from .runner import Runner
+from .settings_follower import SettingsFollower
 from .status import ExitStatus
 from .tickets import TicketDesk
 from .trials import Trials
--- a/scenarios/mutants.py
+++ b/scenarios/mutants.py
@@ -146,8 +146,8 @@
     Mutant(
         'an engine that leaves is not remembered',
         'membership/seamhold_membership/engine_view.py',
-        'if self._leaving.get(name) == state.engine.incarnation:',
-        'if state.engine.phase is Phase.LEAVING:',
+        'if self._leaving.get(engine.name) == engine.incarnation:',
+        'if engine.phase is Phase.LEAVING:',
         'A list that goes back does not bring a leaving engine back',
     ),
     Mutant(
@@ -173,7 +173,7 @@
     ),
     Mutant(
         'a reset platform is not mended',
-        'router/seamhold/follower.py',
+        'router/seamhold/settings_follower.py',
         'self._mend(envelope.name)',
         'pass',
         'An operator edits the older copy before it is mended',
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -5,7 +5,6 @@
 
 import testtools
 
-from seamhold.follower import box_from
 from seamhold.forwarding import followers
 from seamhold.forwarding.followers import (
     ALONE_POLLS,
@@ -15,6 +14,7 @@
     PolledListFollower,
     StoreWatch,
 )
+from seamhold.list_follower import box_from
 from seamhold.listed import ListInUse
 from seamhold.metrics import Metrics
 from seamhold_messages.fleet import Box, Engine, Evacuation, is_news_of_engine
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,9 +10,9 @@
 from seamhold.context import Environment
 from seamhold.core import run
 from seamhold.editing import SettingsEditor
-from seamhold.follower import SettingsFollower
 from seamhold.keeper import Offer, SettingsKeeper
 from seamhold.metrics import Metrics
+from seamhold.settings_follower import SettingsFollower
 from seamhold.status import ExitStatus
 from seamhold_messages.errors import SettingsConflict, SettingsInvalid
 from seamhold_platform import ObjectKind, PlatformClient, PlatformObject
