The broken variant without a load bound breaks it again: its place had changed

make mutants would have stopped there since the bound's last part is divided (it is run by hand). Both ways out of the check are switched off now; the scenario of a rush catches it.

--- a/scenarios/mutants.py
+++ b/scenarios/mutants.py
@@ -112,9 +112,16 @@
     Mutant(
         'the load bound is not looked at',
         'placement/seamhold_placement/bound.py',
-        'return after.requests <= calls_bound and after.tokens <= tokens_bound',
-        'return True',
+        'if after.requests > calls_bound or after.tokens > tokens_bound:',
+        'if False:',
         'A rush of one chat is spread',
+        also=(
+            Edit(
+                'placement/seamhold_placement/bound.py',
+                'or self._is_own_part(engine, work)',
+                'or True',
+            ),
+        ),
     ),
     Mutant(
         'each box takes the whole limit of a workspace',
