--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -41,6 +41,8 @@
         self.log = logger(f'follow-{self.kind}')
         self._rng = rng
         self._lost_at: float | None = None
+        #: When the platform last answered a call of this follower, on the box's clock.
+        self._answered_at: float | None = None
         self._starting_until = boot_seconds() + self.starting_seconds
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name=f'follow-{self.kind}', daemon=True)
@@ -53,6 +55,15 @@
         """Ask the thread to stop at the next change or timeout, without waiting for it."""
         self._stopped.set()
 
+    def confirmed_age(self) -> float | None:
+        """Return the seconds since the collection's state was last confirmed by an answer.
+
+        None if this box does not follow it now, or never had an answer.
+        """
+        if self._answered_at is None or not self.should_follow():
+            return None
+        return boot_seconds() - self._answered_at
+
     def should_follow(self) -> bool:
         """Whether this box follows the collection now."""
         return True
@@ -108,14 +119,13 @@
 
     def _follow(self) -> None:
         page = self.platform.list(self.kind)
-        self._record_regained()
-        self.on_answer()
+        self._record_answer()
         self.version = page.version
         self.on_list(page.objects)
         self.before_watch()
         while not self._stopped.is_set() and self.should_follow():
             changed = self._watch_once()
-            self.on_answer()
+            self._record_answer()
             if changed:
                 self._stopped.wait(self._batch_pause())
 
@@ -141,7 +151,18 @@
         """Log an outage once, not at each failure in it."""
         if self._lost_at is None:
             self._lost_at = boot_seconds()
-            self.log.warning('platform.lost', code=error.code, detail=error.detail)
+            age = self.confirmed_age()
+            self.log.warning(
+                'platform.lost',
+                code=error.code,
+                detail=error.detail,
+                confirmed=None if age is None else round(age, 3),
+            )
+
+    def _record_answer(self) -> None:
+        self._answered_at = boot_seconds()
+        self._record_regained()
+        self.on_answer()
 
     def _record_regained(self) -> None:
         if self._lost_at is not None:
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -218,6 +218,11 @@
     def _lift(self, request: str) -> bool:
         return self.decider.query(LiftCase(request)).result(STATUS_SECONDS)
 
+    def _confirmed_ages(self) -> dict[str, float]:
+        """Return the age in seconds of what this box itself reads from the store, by kind."""
+        ages = {follower.kind: follower.confirmed_age() for follower in self.followers}
+        return {str(kind): round(age, 3) for kind, age in ages.items() if age is not None}
+
     def _status(self) -> dict:
         report = self.decider.query(GetReport()).result(STATUS_SECONDS)
         self.metrics.gauge('calls_in_flight', report.in_flight)
@@ -229,7 +234,7 @@
             'live_boxes': list(report.live_boxes),
             'engines': [to_builtins(engine) for engine in report.engines],
             'quarantine': [to_builtins(case) for case in report.quarantine],
-            'knowledge': to_builtins(report.knowledge),
+            'knowledge': to_builtins(report.knowledge) | {'confirmed': self._confirmed_ages()},
             'counts': report.counts,
         }
 
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -269,8 +269,7 @@
         if not self._started:
             self._started = True
             page = self.platform.list(self.kind, stale=True)
-            self._record_regained()
-            self.on_answer()
+            self._record_answer()
             self.version = page.version
             self.on_list(page.objects)
             self.before_watch()
@@ -291,8 +290,7 @@
         while not self._stopped.is_set() and self.should_follow():
             starting = self._is_starting()
             page = self.platform.list(self.kind, stale=not starting)
-            self._record_regained()
-            self.on_answer()
+            self._record_answer()
             self.version = page.version
             self.on_list(page.objects)
             self._stopped.wait(ALONE_POLL_SECONDS if starting else POLL_SECONDS)
