A lost answer to a watch no longer leaves all boxes deaf for nine seconds (CONFIG)

What callers saw: a route that had been acknowledged was answered 404, 84 ms past the two seconds within which it must be in force.

Cause: once an answer is lost on a connection, the store says nothing further on it. All watches of the tree begin together after a change; a store that falls silent then leaves each of them open and unanswered until its read time-out of 8.7 s. The polls of the list of boxes, on other connections, succeeded meanwhile.

Ruled out: versions that are read and not taken (no such line in any log), pauses between tries (the last 0.25 to 0.75 s only), boxes that did not get it from watchers (no watcher had it).

Change: watchers take turns, so that one of them begins a watch of each kind every second; a watch that is not answered is followed by a list on another connection at once. It holds wherever the silence strikes, because the next turn is another box's, or another connection of the same one. 1 s, 0.4 s of slack and a list are within the 2 s of the promise.

--- a/packages/router/seamhold/cases_follower.py
+++ b/packages/router/seamhold/cases_follower.py
@@ -22,8 +22,9 @@
     """
 
     kind = ObjectKind.QUARANTINE
-    #: Between two watches the follower checks whether boxes are still missing.
-    watch_seconds = 4.0
+    #: Between two watches the follower checks whether boxes are still missing.  Nobody else
+    #: follows for these boxes, so a watch that is not answered must end soon.
+    watch_seconds = 1.0
 
     def __init__(
         self,
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -77,6 +77,7 @@
         self._events_accepted = 0
         #: Whether this box watches the platform's store.
         self.watches_store = True
+        self.watch_turn = router.watch_turn
         self._store_lost = False
         #: Set while this box watches the store or has lost it and must reconnect.
         self.store_wanted = threading.Event()
@@ -127,6 +128,7 @@
         now = self._clock()
         self._next_tick = now + CHECK_SECONDS
         self._set_watch_role(self._router.watches_store(now))
+        self.watch_turn = self._router.watch_turn
         self._router.store_lost = self.store_lost
         decisions = self._router.tick(now)
         self._report_engine_uses(now)
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -7,7 +7,12 @@
 import random
 import threading
 
-from seamhold_messages.errors import PlatformGone, SeamholdError
+from seamhold_messages.errors import (
+    PlatformGone,
+    PlatformThrottled,
+    PlatformUnavailable,
+    SeamholdError,
+)
 from seamhold_platform import ObjectKind, PlatformObject, WatchKind
 from seamhold_platform.client import WATCH_SECONDS
 
@@ -83,6 +88,13 @@
     def on_batch_end(self) -> None:
         """Called after `on_change` has received all changes of one watch."""
 
+    def next_watch_seconds(self, after_change: bool) -> float:
+        """Return how long the next watch may wait for a change.
+
+        `after_change` is whether the list or a change was received just before.
+        """
+        return self.watch_seconds
+
     def before_watch(self) -> None:
         """Called between the list and the first watch from it."""
 
@@ -118,13 +130,22 @@
                 self._stopped.wait(RETRY_SECONDS)
 
     def _follow(self) -> None:
+        """List and watch until this box stops following or a watch is not answered."""
         page = self.platform.list(self.kind)
         self._record_answer()
         self.version = page.version
         self.on_list(page.objects)
         self.before_watch()
+        changed = True
         while not self._stopped.is_set() and self.should_follow():
-            changed = self._watch_once()
+            try:
+                changed = self._watch_once(self.next_watch_seconds(changed))
+            except PlatformThrottled:
+                raise
+            except PlatformUnavailable as error:
+                # Only this connection may be silent: the next list shows whether the store is.
+                self._record_unanswered(error)
+                return
             self._record_answer()
             if changed:
                 self._stopped.wait(self._batch_pause())
@@ -135,10 +156,10 @@
             return self.starting_batch_seconds
         return self.batch_seconds
 
-    def _watch_once(self) -> bool:
+    def _watch_once(self, seconds: float) -> bool:
         """Run one watch and handle its changes; whether there were any."""
         changes = False
-        for event in self.platform.watch(self.kind, self.version, self.watch_seconds):
+        for event in self.platform.watch(self.kind, self.version, seconds):
             self.version = event.object.version or self.version
             if event.kind is not WatchKind.BOOKMARK:
                 changes = True
@@ -147,16 +168,30 @@
             self.on_batch_end()
         return changes
 
+    def _record_unanswered(self, error: SeamholdError) -> None:
+        if self._stopped.is_set():
+            return
+        self.metrics.count(f'platform.{self.kind}.watch_unanswered')
+        self.log.warning(
+            'watch.unanswered',
+            code=error.code,
+            detail=error.detail,
+            confirmed=self._rounded_age(),
+        )
+
+    def _rounded_age(self) -> float | None:
+        age = self.confirmed_age()
+        return None if age is None else round(age, 3)
+
     def _record_lost(self, error: SeamholdError) -> None:
         """Log an outage once, not at each failure in it."""
         if self._lost_at is None:
             self._lost_at = boot_seconds()
-            age = self.confirmed_age()
             self.log.warning(
                 'platform.lost',
                 code=error.code,
                 detail=error.detail,
-                confirmed=None if age is None else round(age, 3),
+                confirmed=self._rounded_age(),
             )
 
     def _record_answer(self) -> None:
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -24,9 +24,6 @@
 from ..ports import ObjectStore
 from ..settings_task import OFFER_SECONDS, OfferSettings, SettingsTask
 
-#: How long the store may hold a watch without a change, in seconds.  TCP keepalive probes
-#: the connection meanwhile, and the store keeps its history for 20 s.
-WATCH_SECONDS = 8.0
 #: Batch time of changes during a box's start, in seconds, and how long the start lasts.
 #: When a fleet starts, many changes come together and a box may stop being a watcher
 #: within a second: without this, 19 boxes that started together each watched four times.
@@ -73,6 +70,10 @@
         """Wait until this box should watch, at most STOP_CHECK_SECONDS."""
         self._decider.store_wanted.wait(STOP_CHECK_SECONDS)
 
+    def next_watch_seconds(self, after_change: bool) -> float:
+        """Return how long this box's next watch of a kind may wait for a change."""
+        return self._decider.watch_turn.seconds(after_change)
+
     def wait_for_role(self) -> None:
         """Wait while this box starts and cannot know yet whether it is a watcher."""
         decider = self._decider
@@ -103,7 +104,6 @@
     """
 
     kind = ObjectKind.SETTINGS
-    watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
     batch_seconds = BATCH_SECONDS
     starting_batch_seconds = STARTING_BATCH_SECONDS
@@ -137,6 +137,10 @@
         """Wait until this box knows whether it is a watcher."""
         self._watch.wait_for_role()
 
+    def next_watch_seconds(self, after_change: bool) -> float:
+        """Return how long this box's next watch may wait for a change."""
+        return self._watch.next_watch_seconds(after_change)
+
     def on_answer(self) -> None:
         """Record that the store answered."""
         self._watch.on_answer()
@@ -193,7 +197,6 @@
     change and returns whether the change has to be delivered.
     """
 
-    watch_seconds = WATCH_SECONDS
     retry_max_seconds = RETRY_MAX_SECONDS
     batch_seconds = BATCH_SECONDS
     starting_batch_seconds = STARTING_BATCH_SECONDS
@@ -230,6 +233,10 @@
         """Wait until this box knows whether it is a watcher."""
         self._source.watch.wait_for_role()
 
+    def next_watch_seconds(self, after_change: bool) -> float:
+        """Return how long this box's next watch may wait for a change."""
+        return self._source.watch.next_watch_seconds(after_change)
+
     def on_change(self, kind: WatchKind, item: PlatformObject) -> None:
         """Replace or remove one item; all changes of one watch are delivered together."""
         before = self._items.get(item.name)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -27,6 +27,7 @@
 from .health import EngineHealth
 from .plans import caps_for
 from .watchers import (
+    WatchTurn,
     box_missing_seconds,
     box_silent_seconds,
     store_unavailable,
@@ -267,6 +268,11 @@
         self.exchange.watching = watches and not self.store_lost
         return watches
 
+    @property
+    def watch_turn(self) -> WatchTurn:
+        """This box's turn among the watchers, valid while it is one."""
+        return self.exchange.selection.turn
+
     def missing_boxes(self, now: float) -> list[str]:
         """Return silent neighbours that may still run: cut off from this box, or only just gone."""
         seconds = box_missing_seconds(self.boxes, self.tree.fleet.control)
--- a/packages/routing/seamhold_routing/watchers.py
+++ b/packages/routing/seamhold_routing/watchers.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Collection, Iterator
 
+from msgspec import Struct
+
 from seamhold_membership import BoxView
 from seamhold_placement import Ranking
 from seamhold_settings.schema import Control
@@ -12,6 +14,9 @@
 #: too much.
 WATCHERS = 4
 WATCHERS_KEY = 'store-watchers'
+#: Interval at which some box of the fleet begins a watch of each kind, in seconds.  An open
+#: watch does not show that the store still answers it; a new one does.
+WATCH_INTERVAL_SECONDS = 1.0
 #: A watcher is assumed to have stopped when no heartbeat of it arrives for this long, or for
 #: this many times the time that an update takes to reach all boxes, whichever is longer.
 SILENT_SECONDS = 1.0
@@ -60,6 +65,21 @@
     return max(SILENT_SECONDS, SILENT_GOSSIP_TIMES * gossip_seconds(boxes, control))
 
 
+class WatchTurn(Struct, frozen=True):
+    """A watcher's position among the watchers, from 0, and their number."""
+
+    position: int = 0
+    watchers: int = 1
+
+    def seconds(self, after_change: bool) -> float:
+        """Return how long the next watch may wait for a change.
+
+        A change ends the watches of all watchers at once.  The first watch after it therefore
+        ends at a different time at each watcher, and all later ones take equally long.
+        """
+        return WATCH_INTERVAL_SECONDS * (self.position + 1 if after_change else self.watchers)
+
+
 class WatcherSelection:
     """Decides whether this box watches the store for the fleet.
 
@@ -77,6 +97,8 @@
         #: Start of the selection: the watchers of the first check are expected since then.
         self._began: float | None = None
         self._checked = False
+        #: This box's turn, valid while it is a watcher.
+        self.turn = WatchTurn()
 
     def begin(self, now: float) -> None:
         """Start the selection once the list of boxes is available; later calls do nothing."""
@@ -113,6 +135,8 @@
             if name in lost:
                 continue
             if name == self._me:
+                able = sum(box not in lost for box in live)
+                self.turn = WatchTurn(watchers, min(WATCHERS, able))
                 return True
             since = expected.get(name, expected_since)
             self._expected[name] = since
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -36,6 +36,9 @@
     def wait_for_role(self) -> None:
         """Return at once; the role is known."""
 
+    def next_watch_seconds(self, after_change: bool) -> float:
+        return 1.0
+
 
 class CountingStore:
     """A store with a list of boxes; records whether each read allows a stale list."""
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -1,6 +1,7 @@
 """Relayed updates: engine load, failure reports and heartbeats of store watchers."""
 
 import random
+from itertools import pairwise
 
 import testtools
 from hypothesis import given
@@ -19,7 +20,12 @@
 from seamhold_routing import Router, Versions
 from seamhold_routing.exchange import MIN_NEWER_SECONDS
 from seamhold_routing.relaying import MAX_UPDATE_AGE_SECONDS
-from seamhold_routing.watchers import WATCHERS, WatcherSelection
+from seamhold_routing.watchers import (
+    WATCH_INTERVAL_SECONDS,
+    WATCHERS,
+    WatcherSelection,
+    WatchTurn,
+)
 
 
 class TestRelayLog(testtools.TestCase):
@@ -372,6 +378,31 @@
         lost = self.watchers(selections, 0.5)
         self.assertEqual(WATCHERS, len(self.watchers(selections, 0.6, lost=lost) - lost))
 
+    def test_watchers_take_turns(self):
+        selections = self.selections()
+        turns = [selections[name].turn for name in self.watchers(selections, 0.5)]
+        self.assertEqual(list(range(WATCHERS)), sorted(turn.position for turn in turns))
+        self.assertEqual({WATCHERS}, {turn.watchers for turn in turns})
+
+    def test_a_fleet_with_fewer_boxes_than_watchers_takes_shorter_turns(self):
+        selection = WatcherSelection('box-1')
+        selection.begin(0.0)
+        self.assertTrue(selection.watches(('box-1', 'box-2'), ('box-2',), self.SILENT, 0.5))
+        self.assertEqual(WatchTurn(0, 1), selection.turn)
+
+    def test_some_watch_begins_every_second_after_a_change(self):
+        begins = {0.0}
+        for position in range(WATCHERS):
+            turn = WatchTurn(position, WATCHERS)
+            at = turn.seconds(after_change=True)
+            while at < 20.0:
+                begins.add(at)
+                at += turn.seconds(after_change=False)
+        times = sorted(begins)
+        gaps = [after - before for before, after in pairwise(times)]
+        self.assertEqual(WATCH_INTERVAL_SECONDS, max(gaps))
+        self.assertEqual(20, len(times))
+
     def test_a_watcher_that_returns_watches_again(self):
         selections = self.selections()
         first = self.watchers(selections, 0.5)
