--- a/packages/platform/seamhold_platform/client.py
+++ b/packages/platform/seamhold_platform/client.py
@@ -25,7 +25,7 @@
 ANSWER_SECONDS = 3.0
 WATCH_SECONDS = 20.0
 #: A watch fails if nothing is received for this long beyond its own duration, in seconds.
-WATCH_SLACK_SECONDS = 5.0
+WATCH_SLACK_SECONDS = 1.0
 STATUS_ERRORS = {
     404: PlatformNotFound,
     409: PlatformConflict,
--- a/packages/router/seamhold/settings_follower.py
+++ b/packages/router/seamhold/settings_follower.py
@@ -6,6 +6,7 @@
 from seamhold_messages.errors import PlatformConflict, PlatformUnavailable, SettingsInvalid
 from seamhold_placement.rank import owners
 from seamhold_platform import ObjectKind, PlatformObject, WatchKind
+from seamhold_routing import WatchTurn
 from seamhold_settings import OfferResult
 from seamhold_settings.envelope import Envelope
 
@@ -17,9 +18,6 @@
 #: Boxes that watch the settings; the others get changes from them.
 SETTINGS_WATCHERS = 3
 WATCHERS_KEY = 'settings-watchers'
-#: A watch of the settings is short, because a box checks only between two watches
-#: whether it is still a watcher; few boxes watch.
-SETTINGS_WATCH_SECONDS = 4.0
 
 
 class SettingsFollower(Follower):
@@ -31,7 +29,6 @@
     """
 
     kind = ObjectKind.SETTINGS
-    watch_seconds = SETTINGS_WATCH_SECONDS
 
     def __init__(
         self,
@@ -52,7 +49,18 @@
         """Whether this box ranks among the watchers, or has no settings yet."""
         if not self._settings_task.ready.is_set():
             return True
-        return self._box in owners(WATCHERS_KEY, self._live_boxes(), SETTINGS_WATCHERS)
+        return self._box in self._watchers()
+
+    def next_watch_seconds(self, after_change: bool) -> float:
+        """Return how long the next watch may wait; the watchers take turns."""
+        watchers = self._watchers()
+        if self._box not in watchers:
+            return WatchTurn().seconds(after_change)
+        turn = WatchTurn(watchers.index(self._box), len(watchers))
+        return turn.seconds(after_change)
+
+    def _watchers(self) -> list[str]:
+        return owners(WATCHERS_KEY, self._live_boxes(), SETTINGS_WATCHERS)
 
     def on_list(self, objects: list[PlatformObject]) -> None:
         """Offer all objects, including changes made while no box watched."""
--- a/packages/routing/seamhold_routing/__init__.py
+++ b/packages/routing/seamhold_routing/__init__.py
@@ -3,5 +3,6 @@
 from .exchange import Versions
 from .router import Router
 from .service import ServicePlan, hint_for
+from .watchers import WatchTurn
 
-__all__ = ['Router', 'ServicePlan', 'Versions', 'hint_for']
+__all__ = ['Router', 'ServicePlan', 'Versions', 'WatchTurn', 'hint_for']
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import io
 import random
+import time
 
 import testtools
 from hypothesis import given
@@ -14,8 +15,8 @@
 from seamhold.settings_follower import SettingsFollower
 from seamhold.settings_task import OfferSettings, SettingsTask
 from seamhold.status import ExitStatus
-from seamhold_messages.errors import SettingsConflict, SettingsInvalid
-from seamhold_platform import ObjectKind, PlatformClient, PlatformObject
+from seamhold_messages.errors import PlatformUnavailable, SettingsConflict, SettingsInvalid
+from seamhold_platform import ObjectKind, PlatformClient, PlatformObject, client
 from seamhold_routing.plans import plan_for
 from seamhold_settings import ActiveSettings, Candidate, OfferResult, load_tree, resolve
 from seamhold_settings.envelope import Edit
@@ -152,6 +153,60 @@
         )
 
 
+class ClientOfLostAnswer(PlatformClient):
+    """A client whose first watch gets no answer and ends with its read timeout."""
+
+    watches = 0
+
+    def watch(self, kind, version, seconds=client.WATCH_SECONDS):
+        self.watches += 1
+        if self.watches == 1:
+            time.sleep(seconds + client.WATCH_SLACK_SECONDS)
+            raise PlatformUnavailable('watch: read timed out')
+        yield from super().watch(kind, version, seconds)
+
+
+class TestUnansweredWatch(testtools.TestCase):
+    #: Within this time of an edit it is in force, in seconds.
+    IN_FORCE_SECONDS = 3.0
+
+    def test_edit_is_in_force_soon_after_a_watch_that_was_not_answered(self):
+        server = Platform().start()
+        self.addCleanup(server.stop)
+        platform = ClientOfLostAnswer(f'http://127.0.0.1:{server.port}')
+        editor = SettingsEditor(platform, Environment(), 'cook')
+        editor.apply(load_tree(TREE))
+        settings_task = SettingsTask(Metrics(), lambda tree: None)
+        settings_task.start()
+        self.addCleanup(settings_task.stop)
+        follower = SettingsFollower(
+            platform, Metrics(), random.Random(1), settings_task, 'box-1', lambda: ('box-1',)
+        )
+        follower.start()
+        self.addCleanup(follower.stop)
+        self.assertTrue(settings_task.ready.wait(5))
+        time.sleep(0.3)
+        editor.set('fleet.policy.deadline', 44)
+        deadline = time.monotonic() + self.IN_FORCE_SECONDS
+        while settings_task.snapshot.tree.fleet.policy.deadline != 44:
+            self.assertLess(time.monotonic(), deadline, 'the edit is not in force in time')
+            time.sleep(0.02)
+
+    def test_watchers_begin_their_watches_at_different_times(self):
+        boxes = ('box-1', 'box-2', 'box-3', 'box-4')
+        task = SettingsTask(Metrics(), lambda tree: None)
+        task.ready.set()
+        followers = [
+            SettingsFollower(None, Metrics(), random.Random(1), task, box, lambda: boxes)
+            for box in boxes
+        ]
+        watchers = [follower for follower in followers if follower.should_follow()]
+        first = [follower.next_watch_seconds(after_change=True) for follower in watchers]
+        self.assertEqual([1.0, 2.0, 3.0], sorted(first))
+        later = {follower.next_watch_seconds(after_change=False) for follower in watchers}
+        self.assertEqual({3.0}, later)
+
+
 class TestEditing(testtools.TestCase):
     def setUp(self):
         super().setUp()
