--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -42,6 +42,8 @@
         self.headers = response.headers
         #: These servers do not report their load.
         self.load: EngineLoad | None = None
+        #: Only refusals of these servers say that they leave.
+        self.leaving = False
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raises AttemptFailed if it is cut."""
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -95,6 +95,7 @@
         self.status = response.status
         self.headers = response.headers
         self.load: EngineLoad | None = None
+        self.leaving = False
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received; raises AttemptFailed if it is cut."""
@@ -218,6 +219,7 @@
         """Raise AttemptFailed unless the answer may be passed on to the caller."""
         verdict = self._dialect.verdict(answer.status, answer.headers, request.request_id)
         answer.load = verdict.load
+        answer.leaving = verdict.leaving
         if verdict.misdirected:
             error = EngineMisdirected(
                 'the server is not the expected instance', RETRY_AFTER_SECONDS
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -24,6 +24,8 @@
     reported_load: EngineLoad | None = None
     #: Why the backend server refused the attempt; '' if it did not.
     refusal: str = ''
+    #: Whether the backend server said that it takes no new work.
+    leaving: bool = False
 
     def as_log(self) -> dict:
         """Return plain values for the log: the basis of the placement and the outcome."""
@@ -45,6 +47,7 @@
             'outcome': self.outcome,
             'code': self.code,
             'refusal': self.refusal,
+            'leaving': self.leaving,
             'answered': None
             if self.answered_at is None
             else round(self.answered_at - self.began_at, 3),
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -143,11 +143,15 @@
 
 
 class OpenAnswer(Protocol):
-    """An answer that has begun; `load` is the load that the server reported, if any."""
+    """An answer that has begun; `load` is the load that the server reported, if any.
+
+    `leaving` is whether the server said with it that it takes no new work.
+    """
 
     status: int
     headers: Mapping[str, str]
     load: EngineLoad | None
+    leaving: bool
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raises AttemptFailed if it is cut."""
@@ -283,14 +287,14 @@
 
     `genuine`: a backend server made the answer, and for this request.  `refused`: the server
     did not run the call.  `misdirected`: the server is not the expected incarnation.
-    Whether a server is leaving follows only from the platform's list: no answer is reliable
-    about it.
+    `leaving`: the expected incarnation says that it takes no new work.
     """
 
     genuine: bool
     refused: bool = False
     misdirected: bool = False
     load: EngineLoad | None = None
+    leaving: bool = False
 
 
 class CallerDialect(Protocol):
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -211,6 +211,7 @@
             self._record_load(job, placed, failure.load)
             raise
         job.sent += 1
+        job.attempts[-1].leaving = answer.leaving
         self._record_load(job, placed, answer.load)
         job.attempts[-1].answered_at = self._environment.monotonic()
         self._decider.send(AnswerStarted(job.call.id))
