An engine that says in its answers that it leaves gets no new requests (DRAIN)

Cause: Server-Leaving was read nowhere; the store took the engine's entry 13 s late.

Ruled out: a sign that is undone by the list (no change of belief), calls that were placed before the sign (arrivals up to 12 s later).

Change: the sign is read from every head of the expected instance, told to all boxes as an event, and held by the name of the start through entries that say ready, lapse or come back. A call that is placed and not sent yet is withdrawn and placed anew. It holds because only a new start has another name. A test listed the outcomes after which nothing ran; WITHDRAWN, where nothing was sent, joins it.

--- a/models/leaving.py
+++ b/models/leaving.py
@@ -45,7 +45,7 @@
     view = EngineView()
     for listing in received:
         if listing.phase is Phase.SUSPECT:
-            view.mark_leaving(ENGINE, listing.incarnation)
+            view.mark_leaving(ENGINE, listing.incarnation, 0.0)
             continue
         if variant == 'a list overrides received events':
             view = EngineView()
--- a/packages/attempts/seamhold_attempts/retry.py
+++ b/packages/attempts/seamhold_attempts/retry.py
@@ -18,6 +18,8 @@
 
     DONE = 'done'
     NOT_SENT = 'not_sent'
+    #: Not sent, because the engine said after the placement that it takes no new work.
+    WITHDRAWN = 'withdrawn'
     ENGINE_REFUSED = 'engine_refused'
     ENGINE_FULL = 'engine_full'
     MISDIRECTED = 'misdirected'
@@ -31,8 +33,16 @@
 REFUSALS = frozenset({Outcome.ENGINE_REFUSED, Outcome.ENGINE_FULL})
 #: Outcomes after which the engine is certain not to have run the call.
 NOT_RUN = frozenset(
-    {Outcome.NOT_SENT, Outcome.ENGINE_REFUSED, Outcome.ENGINE_FULL, Outcome.MISDIRECTED}
+    {
+        Outcome.NOT_SENT,
+        Outcome.WITHDRAWN,
+        Outcome.ENGINE_REFUSED,
+        Outcome.ENGINE_FULL,
+        Outcome.MISDIRECTED,
+    }
 )
+#: Outcomes after which nothing has reached the engine, so that another attempt costs nothing.
+UNSENT = frozenset({Outcome.NOT_SENT, Outcome.WITHDRAWN})
 #: Outcomes after which a repeatable call is retried at another engine.
 FAILURES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.ANSWERED_FAILURE})
 
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -21,6 +21,9 @@
 
 #: The phase of an engine by why it is unused; any other reason makes it a suspect.
 PHASE_OF = {UnusedReason.LEAVING: Phase.LEAVING, UnusedReason.EVACUATED: Phase.EVACUATED}
+#: An engine that drops off the list while it is leaving keeps that mark for this long, in
+#: seconds: its entry may only have lapsed, and the engine serves on for some time.
+LEAVING_KEPT_SECONDS = 300.0
 #: Slow start: the shares of its weight that a newly seen engine gets, step by step, before 1.
 RISING_STEPS = (0.25, 0.5, 0.75)
 
@@ -98,15 +101,18 @@
         #: Engines that dropped off the list during an outage of the platform.
         self._unlisted: set[str] = set()
         self._leaving: dict[str, str] = {}
+        #: Engines that are not listed, and until when they still count as leaving.
+        self._leaving_until: dict[str, float] = {}
         self._has_list = False
         self._serving_cache: dict[str, Serving] = {}
 
     def set_list(self, engines: list[Engine], now: float) -> None:
         """Apply the platform's list, which may lag."""
         self._serving_cache.clear()
+        self._forget_leaving(now)
         engines = without_foreign_entries(engines, self._states)
         names = {engine.name for engine in engines}
-        self._drop(self._replaced(engines, names))
+        self._drop(self._replaced(engines, names), now)
         self._unlisted = set(self._states) - names
         self.drop_unlisted(now)
         for engine in engines:
@@ -121,15 +127,23 @@
         if not self._unlisted or now < self.outage_until:
             return []
         dropped = sorted(self._unlisted)
-        self._drop(dropped)
+        self._drop(dropped, now)
         self._unlisted.clear()
         self._serving_cache.clear()
         return dropped
 
-    def _drop(self, names: list[str]) -> None:
+    def _drop(self, names: list[str], now: float) -> None:
         for name in names:
             del self._states[name]
-            self._leaving.pop(name, None)
+            if name in self._leaving:
+                self._leaving_until[name] = now + LEAVING_KEPT_SECONDS
+
+    def _forget_leaving(self, now: float) -> None:
+        """Forget the leaving engines that have not been listed for long."""
+        for name, until in list(self._leaving_until.items()):
+            if name not in self._states and now >= until:
+                del self._leaving_until[name]
+                del self._leaving[name]
 
     def _replaced(self, engines: list[Engine], names: set[str]) -> list[str]:
         """Return the engines whose address a new engine has: an outage does not explain them."""
@@ -167,11 +181,20 @@
         self._evacuated = domains
         self._serving_cache.clear()
 
-    def mark_leaving(self, name: str, incarnation: str) -> None:
-        """Record that an engine takes no new work, as it or a peer reported explicitly."""
+    def mark_leaving(self, name: str, incarnation: str, now: float) -> None:
+        """Record that an engine takes no new work, as it or a peer reported explicitly.
+
+        The engine may not be listed, or no longer.
+        """
         self._leaving[name] = incarnation
+        if name not in self._states:
+            self._leaving_until[name] = now + LEAVING_KEPT_SECONDS
         self._serving_cache.clear()
 
+    def takes_work(self, name: str, incarnation: str) -> bool:
+        """Whether nothing is known that forbids new work at this start of an engine."""
+        return name not in self._leaving or self._leaving[name] != incarnation
+
     def record_failure(
         self, name: str, now: float, evidence: float = 1.0, answered: bool = False
     ) -> bool:
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -146,6 +146,10 @@
         self._store_lost = lost
         self._update_store_wanted()
 
+    def takes_work(self, engine: str, incarnation: str) -> bool:
+        """Whether an engine may get work, as known now; safe to call on any thread."""
+        return self._router.engines.takes_work(engine, incarnation)
+
     def _update_store_wanted(self) -> None:
         if self.watches_store or self._store_lost:
             self.store_wanted.set()
@@ -234,7 +238,7 @@
             )
 
     def _engine_leaving(self, message: EngineLeaving) -> None:
-        self._router.engine_leaving(message.engine, self._clock())
+        self._router.engine_leaving(message.engine, message.incarnation, self._clock())
         self._log_events()
 
     def _engine_load_reported(self, message: EngineLoadReported) -> None:
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -67,9 +67,10 @@
 
 
 class EngineLeaving(Struct):
-    """Reports that an engine refused a call of this box because it is leaving."""
+    """Reports that an engine said in an answer to this box that it takes no new work."""
 
     engine: str
+    incarnation: str
 
 
 class EngineEnded(Query):
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -229,14 +229,23 @@
             error = EngineRefused(f'the server answered {answer.status}', RETRY_AFTER_SECONDS)
             full = verdict.load is not None and verdict.load.is_full
             refused = Outcome.ENGINE_FULL if full else Outcome.ENGINE_REFUSED
-            raise AttemptFailed(refused, error, load=verdict.load)
+            raise AttemptFailed(refused, error, verdict.leaving, load=verdict.load)
         if not verdict.genuine:
             mismatch = AnswerMismatch(f'the {answer.status} answer is not for this request')
-            raise AttemptFailed(Outcome.FAILED, mismatch)
+            raise AttemptFailed(Outcome.FAILED, mismatch, verdict.leaving)
         if answer.status >= 500:
-            own = Answer(answer.status, dict(answer.headers), answer.whole())
+            own = Answer(answer.status, dict(answer.headers), self._whole(answer))
             failed = EngineFailed(f'the server answered {answer.status}')
-            raise AttemptFailed(Outcome.ANSWERED_FAILURE, failed, answer=own)
+            raise AttemptFailed(Outcome.ANSWERED_FAILURE, failed, verdict.leaving, own)
+
+    @staticmethod
+    def _whole(answer: BackendAnswer) -> bytes:
+        """Return the body of a failure; raises AttemptFailed, with the head's sign, if cut."""
+        try:
+            return answer.whole()
+        except AttemptFailed as failure:
+            failure.leaving = answer.leaving
+            raise
 
     def has_ended(self, placed: Placed) -> bool:
         """Whether the server's process ended: its port refuses connections."""
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -82,7 +82,8 @@
 
     `outcome` tells whether it may have run.  If there is no retry the caller receives
     `answer`, the backend server's own failure, unchanged, or else `error`.  `load` is the
-    load that the server reported, if any.  `connection_refused` is set if the attempt was not
+    load that the server reported, if any.  `leaving` is whether the server said that it takes
+    no new work.  `connection_refused` is set if the attempt was not
     sent because the connection was refused: the server's process has ended.
     """
 
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -6,13 +6,14 @@
 
 from msgspec.structs import replace
 
-from seamhold_attempts.retry import NOT_RUN, REFUSALS, Outcome, may_retry
+from seamhold_attempts.retry import NOT_RUN, REFUSALS, UNSENT, Outcome, may_retry
 from seamhold_messages.errors import (
     AnswerCut,
     AnswerMismatch,
     AnswerTimeout,
     CallerLeft,
     DeadlinePassed,
+    EngineRefused,
     Ran,
     RequestOnTrial,
     RequestQuarantined,
@@ -56,6 +57,8 @@
 #: each costs the whole connect timeout.  Servers that have ended refuse within a round trip
 #: and are not counted: a call tries each once, and the box then avoids them.
 SILENT_MAX = 4
+#: Retry-After of a call that was withdrawn from its engine, in seconds.
+RETRY_AFTER_SECONDS = 0.25
 #: Outcomes that may mean that the engine ended.
 ENGINE_END_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN})
 
@@ -199,24 +202,38 @@
         """Start one attempt and count it by whether it reached its server."""
         job.attempts.append(Attempt(placed, self._environment.monotonic()))
         try:
+            self._check_engine(placed)
             answer = self._engines.open(placed, request, self._remaining(job), job.cancellation)
         except AttemptFailed as failure:
-            if failure.outcome is not Outcome.NOT_SENT:
+            if failure.outcome not in UNSENT:
                 job.sent += 1
-            elif not failure.connection_refused:
+            elif failure.outcome is Outcome.NOT_SENT and not failure.connection_refused:
                 job.silent += 1
+            if failure.leaving:
+                self._report_leaving(job, placed)
             if failure.outcome in REFUSALS:
                 job.attempts[-1].refusal = failure.refusal
                 self._metrics.count(f'engine_refused.{failure.refusal}')
             self._record_load(job, placed, failure.load)
             raise
         job.sent += 1
-        job.attempts[-1].leaving = answer.leaving
+        if answer.leaving:
+            self._report_leaving(job, placed)
         self._record_load(job, placed, answer.load)
         job.attempts[-1].answered_at = self._environment.monotonic()
         self._decider.send(AnswerStarted(job.call.id))
         return answer
 
+    def _check_engine(self, placed: Placed) -> None:
+        """Raise AttemptFailed if the engine said after the placement that it takes no work."""
+        if not self._decider.takes_work(placed.engine, placed.incarnation):
+            error = EngineRefused('the engine takes no new work', RETRY_AFTER_SECONDS)
+            raise AttemptFailed(Outcome.WITHDRAWN, error)
+
+    def _report_leaving(self, job: Job, placed: Placed) -> None:
+        job.attempts[-1].leaving = True
+        self._decider.send(EngineLeaving(placed.engine, placed.incarnation))
+
     def _record_load(self, job: Job, placed: Placed, load: EngineLoad | None) -> None:
         if load is None:
             return
@@ -245,8 +262,6 @@
             # The call may be the cause of a second end: automatic retries would end engines
             # faster than the boxes learn of it.
             retry_allowed = retry_allowed and not job.on_trial and ends < SUSPECT_ENDS
-        if failure.leaving:
-            self._decider.send(EngineLeaving(placed.engine))
         self._metrics.count(f'attempt_failed.{failure.error.code}')
         if not retry_allowed:
             self._decider.send(AttemptEnded(job.call.id, failure.outcome))
@@ -314,14 +329,14 @@
     @staticmethod
     def _may_retry(job: Job, failure: AttemptFailed, streaming: bool) -> bool:
         """Whether the route's retry rule allows another attempt."""
-        if failure.outcome is Outcome.NOT_SENT:
+        if failure.outcome in UNSENT:
             return job.silent < SILENT_MAX and (not streaming or job.rule.repeatable)
         resumes = streaming and job.rule.repeatable
         return may_retry(job.rule, failure.outcome, job.sent, streaming and not resumes)
 
     def _within_budget(self, job: Job, failure: AttemptFailed) -> bool:
         """Whether the retry budget allows another attempt; a call that was not sent is free."""
-        if failure.outcome is Outcome.NOT_SENT:
+        if failure.outcome in UNSENT:
             return True
         return self._budgets.take(job.call.service)
 
--- a/packages/routing/seamhold_routing/beliefs.py
+++ b/packages/routing/seamhold_routing/beliefs.py
@@ -21,14 +21,14 @@
     """The kind of observation that a belief is based on.
 
     `LIST`: the platform's list.  `CALL`: the outcome of one of this box's own calls.
-    `REFUSAL`: an engine's own answer to such a call.  `COMPARED`: the engine failed far more
+    `ANSWER`: what an engine said of itself with an answer to such a call.  `COMPARED`: the engine failed far more
     often than others of its service.  `TOLD`: a report from a peer, whose own log has the
     sign.  `SILENCE`: a peer's messages stopped or resumed.
     """
 
     LIST = 'list'
     CALL = 'call'
-    REFUSAL = 'refusal'
+    ANSWER = 'answer'
     COMPARED = 'compared'
     TOLD = 'told'
     SILENCE = 'silence'
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -170,7 +170,7 @@
         state.counts[f'event.{event.kind.name.lower()}'] += 1
         state.beliefs.append(belief_from_event(event, sign))
         if event.kind is EventKind.ENGINE_LEAVING:
-            state.engines.mark_leaving(event.subject, event.incarnation)
+            state.engines.mark_leaving(event.subject, event.incarnation, now)
         elif event.kind is EventKind.BOX_LEAVING:
             state.boxes.mark_leaving(event.subject, event.incarnation)
         elif event.kind is EventKind.BOX_GONE:
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -133,12 +133,13 @@
         self.exchange.receive_digest(digest, now)
         return self._calls.drain(now)
 
-    def engine_leaving(self, name: str, now: float) -> None:
-        """Record that an engine reported to this box that it takes no new work."""
-        engine = self.engines.get(name)
-        if engine is not None:
-            event = Event(EventKind.ENGINE_LEAVING, name, engine.incarnation, self.box)
-            self.exchange.record_event(event, now, Sign.REFUSAL)
+    def engine_leaving(self, name: str, incarnation: str, now: float) -> None:
+        """Record that an engine said in an answer to this box that it takes no new work.
+
+        It need not be listed: its entry may have lapsed and come back later.
+        """
+        event = Event(EventKind.ENGINE_LEAVING, name, incarnation, self.box)
+        self.exchange.record_event(event, now, Sign.ANSWER)
 
     def record_engine_load(self, name: str, requests: int, sent_at: float, now: float) -> None:
         """Record how many calls run and wait at an engine, as reported with an answer.
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -39,7 +39,7 @@
         allowed = may_retry(RetryRule(False, 5), outcome, tried, passed)
         if allowed:
             refused = (Outcome.ENGINE_REFUSED, Outcome.ENGINE_FULL)
-            not_run = (Outcome.NOT_SENT, *refused, Outcome.MISDIRECTED)
+            not_run = (Outcome.NOT_SENT, Outcome.WITHDRAWN, *refused, Outcome.MISDIRECTED)
             self.assertIn(outcome, not_run)
 
     def test_no_second_answer_begins_after_part_of_one(self):
--- a/tests/test_engine_view.py
+++ b/tests/test_engine_view.py
@@ -165,7 +165,7 @@
     def test_an_outage_does_not_bring_back_a_leaving_engine(self):
         view = EngineView()
         view.set_list([engine('a'), engine('b')], 0.0)
-        view.mark_leaving('a', '1')
+        view.mark_leaving('a', '1', 0.0)
         view.outage_until = 12.0
         view.set_list([engine('b')], 10.0)
         self.assertEqual({'b'}, set(view.serving('s', 10.1).engines))
@@ -187,7 +187,7 @@
     def test_leaving_is_sticky_until_a_new_start(self):
         view = EngineView()
         view.set_list([engine('a'), engine('b')], 0.0)
-        view.mark_leaving('a', '1')
+        view.mark_leaving('a', '1', 0.0)
         view.set_list([engine('a'), engine('b')], 1.0)
         self.assertEqual({'b'}, set(view.serving('s', 1.0).engines))
         view.set_list([engine('a', '2'), engine('b')], 2.0)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -289,7 +289,7 @@
         self.assertIs(Phase.SUSPECT, self.router.engines.phase('e0', 0.0))
 
     def test_the_end_of_a_leaving_or_unlisted_engine_does_not_count(self):
-        self.router.engine_leaving('e0', 0.0)
+        self.router.engine_leaving('e0', self.engines[0].incarnation, 0.0)
         self.assertIsNone(self.ended(self.engines[0]))
         self.assertIsNone(self.ended(Engine('gone long ago', 'llm', '10.9.0.0:1')))
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -17,7 +17,7 @@
         router.set_engines([Engine('e1', 'llm', 'e1:80', incarnation='1', slots=1)], 0.0)
         router.admit(Call('call', 'w', 'llm', 'chat', Work(1, 1), 9.0), 0.0)
         if phase is Phase.LEAVING:
-            router.engine_leaving('e1', 0.1)
+            router.engine_leaving('e1', '1', 0.1)
         router.attempt_ended('call', Outcome.ENGINE_REFUSED, 0.1)
         router.exclude('call', 'e1')
         return router, router.retry_call('call', 0.1, full_engine='e1')
