--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -3,13 +3,14 @@
 from .box_view import BoxView
 from .budget import ByteBudget
 from .digest import Digest, DigestReceiver, DigestSender
-from .engine_view import EngineView, Serving
+from .engine_view import REST_MAX_SECONDS, EngineView, Serving
 from .gossip import Event, EventKind, EventLog
 from .outliers import FailureCounts, outliers
 from .relay import GossipBuffer
 from .unused import ServiceUse, UnusedReason
 
 __all__ = [
+    'REST_MAX_SECONDS',
     'BoxView',
     'ByteBudget',
     'Digest',
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -20,7 +20,14 @@
 from .unused import ServiceUse, UnusedReason, service_use
 
 #: The phase of an engine by why it is unused; any other reason makes it a suspect.
-PHASE_OF = {UnusedReason.LEAVING: Phase.LEAVING, UnusedReason.EVACUATED: Phase.EVACUATED}
+PHASE_OF = {
+    UnusedReason.LEAVING: Phase.LEAVING,
+    UnusedReason.EVACUATED: Phase.EVACUATED,
+    UnusedReason.RESTING: Phase.LIVE,
+}
+#: An engine rests at most this long after a refusal, in seconds: a wrong value must not take
+#: it out of use for good.
+REST_MAX_SECONDS = 300.0
 #: An engine that drops off the list while it is leaving keeps that mark for this long, in
 #: seconds: its entry may only have lapsed, and the engine serves on for some time.
 LEAVING_KEPT_SECONDS = 300.0
@@ -62,7 +69,8 @@
     start.  `cold` engines, a subset of `engines`, sustain only a few calls per second.  `leaving`
     engines get no new work, because they stop or their failure domain is evacuated, but still
     hold the prompts that they have processed.  `avoided` engines get none because calls to them
-    failed, but are up.  `unused` gives the reason for each listed engine that gets no new work.
+    failed or because they asked for rest, but are up.  `unused` gives the reason for each listed
+    engine that gets no new work.
     """
 
     engines: dict[str, Engine]
@@ -103,13 +111,15 @@
         self._leaving: dict[str, str] = {}
         #: Engines that are not listed, and until when they still count as leaving.
         self._leaving_until: dict[str, float] = {}
+        #: Until when engines want no requests from this box.
+        self._resting_until: dict[str, float] = {}
         self._has_list = False
         self._serving_cache: dict[str, Serving] = {}
 
     def set_list(self, engines: list[Engine], now: float) -> None:
         """Apply the platform's list, which may lag."""
         self._serving_cache.clear()
-        self._forget_leaving(now)
+        self._forget_old_marks(now)
         engines = without_foreign_entries(engines, self._states)
         names = {engine.name for engine in engines}
         self._drop(self._replaced(engines, names), now)
@@ -138,12 +148,15 @@
             if name in self._leaving:
                 self._leaving_until[name] = now + LEAVING_KEPT_SECONDS
 
-    def _forget_leaving(self, now: float) -> None:
-        """Forget the leaving engines that have not been listed for long."""
+    def _forget_old_marks(self, now: float) -> None:
+        """Forget rests that are over and leaving engines that have not been listed for long."""
         for name, until in list(self._leaving_until.items()):
             if name not in self._states and now >= until:
                 del self._leaving_until[name]
                 del self._leaving[name]
+        for name, until in list(self._resting_until.items()):
+            if now >= until:
+                del self._resting_until[name]
 
     def _replaced(self, engines: list[Engine], names: set[str]) -> list[str]:
         """Return the engines whose address a new engine has: an outage does not explain them."""
@@ -191,9 +204,30 @@
             self._leaving_until[name] = now + LEAVING_KEPT_SECONDS
         self._serving_cache.clear()
 
-    def takes_work(self, name: str, incarnation: str) -> bool:
-        """Whether nothing is known that forbids new work at this start of an engine."""
-        return name not in self._leaving or self._leaving[name] != incarnation
+    def mark_resting(self, name: str, seconds: float, now: float) -> None:
+        """Record that an engine wants no requests from this box for so long."""
+        until = now + min(seconds, REST_MAX_SECONDS)
+        self._resting_until[name] = max(until, self._resting_until.get(name, until))
+        self._serving_cache.clear()
+
+    def rest_left(self, service: str, now: float) -> float | None:
+        """Return the seconds until the first resting engine of a service takes work again.
+
+        None if none rests.
+        """
+        ends = [
+            self._resting_until[name]
+            for name, reason in self.serving(service, now).unused.items()
+            if reason is UnusedReason.RESTING
+        ]
+        return min(ends) - now if ends else None
+
+    def takes_work(self, name: str, incarnation: str, now: float) -> bool:
+        """Whether this start of an engine accepts new work, as far as it has said."""
+        return self._leaving.get(name) != incarnation and not self._rests(name, now)
+
+    def _rests(self, name: str, now: float) -> bool:
+        return now < self._resting_until.get(name, -math.inf)
 
     def record_failure(
         self, name: str, now: float, evidence: float = 1.0, answered: bool = False
@@ -278,6 +312,8 @@
             return UnusedReason.LEAVING
         if engine.failure_domain in self._evacuated:
             return UnusedReason.EVACUATED
+        if self._rests(engine.name, now):
+            return UnusedReason.RESTING
         return state.suspicion.reason(now)
 
     def _weight(self, state: _EngineState, now: float) -> float:
@@ -341,6 +377,7 @@
         usable: dict[str, Engine] = {}
         suspects: dict[str, Engine] = {}
         leaving: dict[str, Engine] = {}
+        resting: dict[str, Engine] = {}
         reasons: dict[str, UnusedReason] = {}
         until = math.inf
         for name, state in self._states.items():
@@ -351,7 +388,10 @@
                 usable[name] = state.engine
             else:
                 reasons[name] = reason
-                group = leaving if reason in PHASE_OF else suspects
+                if reason is UnusedReason.RESTING:
+                    group = resting
+                else:
+                    group = leaving if reason in PHASE_OF else suspects
                 group[name] = state.engine
             until = min(until, self._next_change(state, now))
         usable |= {name: suspects[name] for name in self._beyond_ejection_limit(usable, suspects)}
@@ -363,12 +403,14 @@
             for name, engine in suspects.items()
             if name not in engines and not self._states[name].suspicion.unreachable
         }
+        avoided |= resting
         unused = {name: reason for name, reason in reasons.items() if name not in engines}
         return Serving(engines, weights, until, leaving, cold, avoided, unused)
 
     def _next_change(self, state: _EngineState, now: float) -> float:
         """Return when the treatment of an engine may next change by time alone."""
         times = [*state.suspicion.expiry_times, state.cold_until]
+        times.append(self._resting_until.get(state.engine.name, -math.inf))
         if state.rising:
             step = self.rising_seconds / len(RISING_STEPS)
             times += [
--- a/packages/membership/seamhold_membership/unused.py
+++ b/packages/membership/seamhold_membership/unused.py
@@ -10,13 +10,14 @@
 class UnusedReason(StrEnum):
     """Why an engine gets no new work; where several apply, the first in this order.
 
-    `UNREACHABLE`: its process refuses connections.  `FAILING`: this box's own calls to it
-    failed.  `OUTLIER`: it fails far more often than the other engines of its service.
-    `REPORTED`: several other boxes suspect it.
+    `RESTING`: it refused a call of this box and asked for rest.  `UNREACHABLE`: its process
+    refuses connections.  `FAILING`: this box's own calls to it failed.  `OUTLIER`: it fails far
+    more often than the other engines of its service.  `REPORTED`: several other boxes suspect it.
     """
 
     LEAVING = 'leaving'
     EVACUATED = 'evacuated'
+    RESTING = 'resting'
     UNREACHABLE = 'unreachable'
     FAILING = 'failing'
     OUTLIER = 'outlier'
--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -123,6 +123,13 @@
     status = 503
 
 
+class EnginesResting(SeamholdError):
+    """Every engine of this service that may get work has asked for rest."""
+
+    code = 'engines_resting'
+    status = 503
+
+
 class FleetFull(SeamholdError):
     """Every engine of the service is at its slots and the queue is full."""
 
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -9,7 +9,7 @@
 from concurrent.futures import Future
 
 from seamhold_attempts.retry import REFUSALS
-from seamhold_membership import Digest, ServiceUse
+from seamhold_membership import REST_MAX_SECONDS, Digest, ServiceUse
 from seamhold_messages.errors import CallerLeft
 from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import Decision, Queued, Refused
@@ -30,6 +30,7 @@
     EngineLeaving,
     EngineLoadReported,
     EngineReport,
+    EngineResting,
     GetDigests,
     GetLearnedHoldings,
     GetLists,
@@ -101,6 +102,7 @@
             EngineLoadReported: self._engine_load_reported,
             StoreAnswered: lambda _: self._router.store_answered(self._clock()),
             EngineLeaving: self._engine_leaving,
+            EngineResting: self._engine_resting,
             UseSettings: self._use_settings,
             SetEngines: self._set_engines,
             SetBoxes: self._set_boxes,
@@ -148,7 +150,7 @@
 
     def takes_work(self, engine: str, incarnation: str) -> bool:
         """Whether an engine may get work, as known now; safe to call on any thread."""
-        return self._router.engines.takes_work(engine, incarnation)
+        return self._router.engines.takes_work(engine, incarnation, self._clock())
 
     def _update_store_wanted(self) -> None:
         if self.watches_store or self._store_lost:
@@ -241,6 +243,16 @@
         self._router.engine_leaving(message.engine, message.incarnation, self._clock())
         self._log_events()
 
+    def _engine_resting(self, message: EngineResting) -> None:
+        if message.seconds > REST_MAX_SECONDS:
+            self.log.warning(
+                'retry_after.limited',
+                engine=message.engine,
+                seconds=message.seconds,
+                used=REST_MAX_SECONDS,
+            )
+        self._router.engine_resting(message.engine, message.seconds, self._clock())
+
     def _engine_load_reported(self, message: EngineLoadReported) -> None:
         now = self._clock()
         self._router.record_engine_load(message.engine, message.requests, message.sent_at, now)
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -32,6 +32,13 @@
     call_id: str
 
 
+class EngineResting(Struct):
+    """Reports for how many seconds an engine wants no requests from this box."""
+
+    engine: str
+    seconds: float
+
+
 class EngineLoadReported(Struct):
     """Reports how many calls run and wait at an engine, as its answer says.
 
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -228,15 +228,31 @@
         if verdict.refused:
             error = EngineRefused(f'the server answered {answer.status}', RETRY_AFTER_SECONDS)
             full = verdict.load is not None and verdict.load.is_full
+            # An engine that asks for rest does not fail.
+            full = full or verdict.rest_seconds > 0
             refused = Outcome.ENGINE_FULL if full else Outcome.ENGINE_REFUSED
-            raise AttemptFailed(refused, error, verdict.leaving, load=verdict.load)
+            raise AttemptFailed(
+                refused,
+                error,
+                verdict.leaving,
+                load=verdict.load,
+                rest_seconds=verdict.rest_seconds,
+            )
         if not verdict.genuine:
             mismatch = AnswerMismatch(f'the {answer.status} answer is not for this request')
-            raise AttemptFailed(Outcome.FAILED, mismatch, verdict.leaving)
+            raise AttemptFailed(
+                Outcome.FAILED, mismatch, verdict.leaving, rest_seconds=verdict.rest_seconds
+            )
         if answer.status >= 500:
             own = Answer(answer.status, dict(answer.headers), self._whole(answer))
             failed = EngineFailed(f'the server answered {answer.status}')
-            raise AttemptFailed(Outcome.ANSWERED_FAILURE, failed, verdict.leaving, own)
+            raise AttemptFailed(
+                Outcome.ANSWERED_FAILURE,
+                failed,
+                verdict.leaving,
+                own,
+                rest_seconds=verdict.rest_seconds,
+            )
 
     @staticmethod
     def _whole(answer: BackendAnswer) -> bytes:
--- a/packages/router/seamhold/forwarding/held.py
+++ b/packages/router/seamhold/forwarding/held.py
@@ -105,7 +105,8 @@
             return
         self._checked_boxes, self._checked_engines = boxes, engines
         for engine in engines_to_query(self._me, [*boxes], engines, self._tree()):
-            if engine.name not in queried and not self._stopped.is_set():
+            takes_work = self._decider.takes_work(engine.name, engine.incarnation)
+            if engine.name not in queried and takes_work and not self._stopped.is_set():
                 queried.add(engine.name)
                 self._query(engine)
 
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -26,6 +26,8 @@
     refusal: str = ''
     #: Whether the backend server said that it takes no new work.
     leaving: bool = False
+    #: How long the backend server wants no requests from this box, in seconds; 0 for none.
+    rest_seconds: float = 0.0
 
     def as_log(self) -> dict:
         """Return plain values for the log: the basis of the placement and the outcome."""
@@ -48,6 +50,7 @@
             'code': self.code,
             'refusal': self.refusal,
             'leaving': self.leaving,
+            'rest': round(self.rest_seconds, 3),
             'answered': None
             if self.answered_at is None
             else round(self.answered_at - self.began_at, 3),
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -83,8 +83,9 @@
     `outcome` tells whether it may have run.  If there is no retry the caller receives
     `answer`, the backend server's own failure, unchanged, or else `error`.  `load` is the
     load that the server reported, if any.  `leaving` is whether the server said that it takes
-    no new work.  `connection_refused` is set if the attempt was not
-    sent because the connection was refused: the server's process has ended.
+    no new work, `rest_seconds` how long it wants no requests from this box.
+    `connection_refused` is set if the attempt was not sent because the connection was refused:
+    the server's process has ended.
     """
 
     def __init__(
@@ -95,10 +96,12 @@
         answer: Answer | None = None,
         load: EngineLoad | None = None,
         connection_refused: bool = False,
+        rest_seconds: float = 0.0,
     ):
         super().__init__(str(error))
         self.load = load
         self.connection_refused = connection_refused
+        self.rest_seconds = rest_seconds
         self.outcome = outcome
         self.error = error
         self.leaving = leaving
@@ -288,7 +291,8 @@
 
     `genuine`: a backend server made the answer, and for this request.  `refused`: the server
     did not run the call.  `misdirected`: the server is not the expected incarnation.
-    `leaving`: the expected incarnation says that it takes no new work.
+    `leaving`: the expected incarnation says that it takes no new work.  `rest_seconds` is how
+    long it wants no requests from this box, 0 for none.
     """
 
     genuine: bool
@@ -296,6 +300,7 @@
     misdirected: bool = False
     load: EngineLoad | None = None
     leaving: bool = False
+    rest_seconds: float = 0.0
 
 
 class CallerDialect(Protocol):
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -35,6 +35,7 @@
     CallClosed,
     EngineLeaving,
     EngineLoadReported,
+    EngineResting,
     RetryCall,
 )
 from .job import Attempt, Job
@@ -211,6 +212,9 @@
                 job.silent += 1
             if failure.leaving:
                 self._report_leaving(job, placed)
+            if failure.rest_seconds:
+                job.attempts[-1].rest_seconds = failure.rest_seconds
+                self._decider.send(EngineResting(placed.engine, failure.rest_seconds))
             if failure.outcome in REFUSALS:
                 job.attempts[-1].refusal = failure.refusal
                 self._metrics.count(f'engine_refused.{failure.refusal}')
--- a/packages/routing/seamhold_routing/beliefs.py
+++ b/packages/routing/seamhold_routing/beliefs.py
@@ -21,9 +21,9 @@
     """The kind of observation that a belief is based on.
 
     `LIST`: the platform's list.  `CALL`: the outcome of one of this box's own calls.
-    `ANSWER`: what an engine said of itself with an answer to such a call.  `COMPARED`: the engine failed far more
-    often than others of its service.  `TOLD`: a report from a peer, whose own log has the
-    sign.  `SILENCE`: a peer's messages stopped or resumed.
+    `ANSWER`: what an engine said of itself with an answer to such a call.  `COMPARED`: the
+    engine failed far more often than others of its service.  `TOLD`: a report from a peer, whose
+    own log has the sign.  `SILENCE`: a peer's messages stopped or resumed.
     """
 
     LIST = 'list'
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -8,9 +8,10 @@
 
 from seamhold_attempts.retry import Outcome
 from seamhold_membership import ServiceUse
-from seamhold_messages.errors import NoEngine, SeamholdError
+from seamhold_messages.errors import EnginesResting, NoEngine, SeamholdError
 from seamhold_messages.fleet import Phase
-from seamhold_messages.work import Call, Decision, Placed, Queued, Refused
+from seamhold_messages.hashing import HASH32_SPAN, hash32
+from seamhold_messages.work import Call, Decision, Placed, Priority, Queued, Refused
 from seamhold_placement import Chooser, ColdShares
 from seamhold_settings import Tree
 
@@ -20,6 +21,11 @@
 from .service import ServiceRouter
 
 NO_ENGINE_RETRY_SECONDS = 1.0
+#: A call waits for resting engines if the first rest ends within this share of its objective.
+REST_WAIT_SHARE = 0.5
+#: Callers refused while all engines rest return within this time of the first rest's end, in
+#: seconds, urgent ones first: together they would overload that engine again.
+RETURN_SPREAD_SECONDS = 0.3
 #: Interval between checks of the calls that wait for any slot.  They are also checked each
 #: time a call ends or a peer reports its load.
 QUEUE_CHECK_SECONDS = 0.05
@@ -92,8 +98,8 @@
 
     def _admit(self, call: Call, now: float) -> list[Decision]:
         service = self._service(call.service)
-        if not service.any_engine(now):
-            raise NoEngine('this service has no live engine', NO_ENGINE_RETRY_SECONDS)
+        if not service.any_engine(now) and not self._may_wait_for_rest(call, now):
+            raise self._no_engine(call, 'this service has no live engine', now)
         self._state.limits.admit(call.workspace, call.work, now)
         self._active[call.id] = _ActiveCall(call)
         self._active[call.id].patience_ends = now + service.plan.patience
@@ -101,6 +107,23 @@
             return self._enqueue(service, call, now)
         return self._place_or_wait(service, call, now)
 
+    def _may_wait_for_rest(self, call: Call, now: float) -> bool:
+        """Whether a resting engine takes work again well within the call's objective."""
+        left = self._state.engines.rest_left(call.service, now)
+        if left is None or call.objective is None:
+            return False
+        return left <= REST_WAIT_SHARE * call.objective
+
+    def _no_engine(self, call: Call, detail: str, now: float) -> SeamholdError:
+        """Return the error of a call that no engine may get now."""
+        left = self._state.engines.rest_left(call.service, now)
+        if left is None:
+            return NoEngine(detail, NO_ENGINE_RETRY_SECONDS)
+        place = (call.priority + hash32(call.id) / HASH32_SPAN) / len(Priority)
+        return EnginesResting(
+            'all engines of this service rest', left + RETURN_SPREAD_SECONDS * place
+        )
+
     def _place_or_wait(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
         """Place the call now, or let it wait for the engine that holds its cache or for any."""
         placed = service.place(call, now)
@@ -188,8 +211,8 @@
         if placed:
             return self._count([self._start(placed, active.call, now)])
         if not service.may_take_later(active.call, full_engine, now):
-            error = NoEngine(
-                'this service has no other engine for the call', NO_ENGINE_RETRY_SECONDS
+            error = self._no_engine(
+                active.call, 'this service has no other engine for the call', now
             )
             return self._count([Refused(call_id, error.code, error.detail, error.retry_after)])
         if not service.any_engine(now, active.call.excluded):
@@ -265,6 +288,8 @@
         decisions: list[Decision] = list(service.queue.expire(now))
         for refusal in decisions:
             self._forget(refusal.call_id)
+        if not service.any_engine(now):
+            decisions += self._refuse_while_resting(service, now)
         for call in service.queue.peek(now):
             placed = service.place(call, now)
             if placed is None:
@@ -273,6 +298,20 @@
             decisions.append(self._start(placed, call, now))
         return decisions
 
+    def _refuse_while_resting(self, service: ServiceRouter, now: float) -> list[Decision]:
+        """Refuse the waiting calls for which all rests end too late."""
+        if self._state.engines.rest_left(service.name, now) is None:
+            return []
+        refused: list[Decision] = []
+        for call in service.queue.peek(now):
+            if self._may_wait_for_rest(call, now):
+                continue
+            service.queue.remove(call.id)
+            self._forget(call.id)
+            error = self._no_engine(call, '', now)
+            refused.append(Refused(call.id, error.code, error.detail, error.retry_after))
+        return refused
+
     def _count(self, decisions: list[Decision]) -> list[Decision]:
         for decision in decisions:
             if isinstance(decision, Refused):
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -141,6 +141,10 @@
         event = Event(EventKind.ENGINE_LEAVING, name, incarnation, self.box)
         self.exchange.record_event(event, now, Sign.ANSWER)
 
+    def engine_resting(self, name: str, seconds: float, now: float) -> None:
+        """Record for how long an engine wants no requests from this box; no other box is told."""
+        self.engines.mark_resting(name, seconds, now)
+
     def record_engine_load(self, name: str, requests: int, sent_at: float, now: float) -> None:
         """Record how many calls run and wait at an engine, as reported with an answer.
 
