--- a/tests/test_engine_uses.py
+++ b/tests/test_engine_uses.py
@@ -31,7 +31,7 @@
 
 class TestUnusedEngines(testtools.TestCase):
     def test_each_reason_is_counted(self):
-        view = view_of(Phase.LEAVING, *[Phase.LIVE] * 6)
+        view = view_of(Phase.LEAVING, *[Phase.LIVE] * 7)
         view.set_evacuated(frozenset({'e1'}), 0.0)
         view.record_failure('e2', 0.0)
         view.record_failure('e3', 0.0, 0.5)
@@ -39,6 +39,7 @@
         view.eject('e4', 0.0)
         for box in ('a', 'b', 'c'):
             view.record_peer_suspicion(Suspect('e5', hash32('1')), box, 0.0)
+        view.mark_resting('e6', 5.0, 0.0)
         use = view.service_use(SERVICE, 0.1)
         self.assertEqual(1, use.used)
         self.assertEqual(dict.fromkeys(UnusedReason, 1), use.unused)
