Watchers take turns by the wall clock, so that a second silence finds them spread, too (CONFIG)

Turns that count from the last change are spread only until a silence strikes some of the watchers: these begin anew at other times than the rest, and stay so until the next change. The new model finds a change that is unknown for three seconds after a second silence (also after two partial ones with a change between). Each watch now ends at its watcher's own second of the round; nothing has to be remembered. The model holds for two silences of any watchers, and both broken variants are caught. A watch is at least 0.1 s long, and the product's own protocol rounds its whole seconds up, or one that is answered a little early would be followed by an empty one.

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -4,7 +4,7 @@
 
 from minicheck import check_safety
 
-from . import claims, drain, evacuation, leaving, quarantine, settings, tickets
+from . import claims, drain, evacuation, leaving, quarantine, settings, tickets, watching
 from .base import Spec
 
 SPECS = (
@@ -15,6 +15,7 @@
     drain.SPEC,
     evacuation.SPEC,
     quarantine.SPEC,
+    watching.SPEC,
 )
 STATES_MAX = 400_000
 
--- a/packages/platform/seamhold_platform/client.py
+++ b/packages/platform/seamhold_platform/client.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 from collections import Counter
 from collections.abc import Iterator
 
@@ -121,7 +122,7 @@
         fields = {
             'watch': '1',
             'resourceVersion': version,
-            'timeoutSeconds': str(int(seconds)),
+            'timeoutSeconds': str(math.ceil(seconds)),
         }
         answer = self._call(
             'watch',
--- a/packages/router/seamhold/explaining.py
+++ b/packages/router/seamhold/explaining.py
@@ -17,6 +17,7 @@
     'not_ready': 'the box was starting or stopping',
     'box_full': 'every thread of the box was serving a call',
     'no_engine': 'no engine of the service was live',
+    'engines_resting': 'all engines of the service had asked this box for rest',
     'fleet_full': 'every engine and the queue were full',
     'deadline_passed': 'its deadline passed before an engine had a free slot',
     'deadline_unmeetable': 'its deadline was shorter than the wait for a free slot',
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -88,11 +88,8 @@
     def on_batch_end(self) -> None:
         """Called after `on_change` has received all changes of one watch."""
 
-    def next_watch_seconds(self, after_change: bool) -> float:
-        """Return how long the next watch may wait for a change.
-
-        `after_change` is whether the list or a change was received just before.
-        """
+    def next_watch_seconds(self) -> float:
+        """Return how long the next watch may wait for a change."""
         return self.watch_seconds
 
     def before_watch(self) -> None:
@@ -136,10 +133,9 @@
         self.version = page.version
         self.on_list(page.objects)
         self.before_watch()
-        changed = True
         while not self._stopped.is_set() and self.should_follow():
             try:
-                changed = self._watch_once(self.next_watch_seconds(changed))
+                changed = self._watch_once(self.next_watch_seconds())
             except PlatformThrottled:
                 raise
             except PlatformUnavailable as error:
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -70,9 +70,9 @@
         """Wait until this box should watch, at most STOP_CHECK_SECONDS."""
         self._decider.store_wanted.wait(STOP_CHECK_SECONDS)
 
-    def next_watch_seconds(self, after_change: bool) -> float:
+    def next_watch_seconds(self) -> float:
         """Return how long this box's next watch of a kind may wait for a change."""
-        return self._decider.watch_turn.seconds(after_change)
+        return self._decider.watch_turn.seconds(time.time())
 
     def wait_for_role(self) -> None:
         """Wait while this box starts and cannot know yet whether it is a watcher."""
@@ -137,9 +137,9 @@
         """Wait until this box knows whether it is a watcher."""
         self._watch.wait_for_role()
 
-    def next_watch_seconds(self, after_change: bool) -> float:
+    def next_watch_seconds(self) -> float:
         """Return how long this box's next watch may wait for a change."""
-        return self._watch.next_watch_seconds(after_change)
+        return self._watch.next_watch_seconds()
 
     def on_answer(self) -> None:
         """Record that the store answered."""
@@ -233,9 +233,9 @@
         """Wait until this box knows whether it is a watcher."""
         self._source.watch.wait_for_role()
 
-    def next_watch_seconds(self, after_change: bool) -> float:
+    def next_watch_seconds(self) -> float:
         """Return how long this box's next watch may wait for a change."""
-        return self._source.watch.next_watch_seconds(after_change)
+        return self._source.watch.next_watch_seconds()
 
     def on_change(self, kind: WatchKind, item: PlatformObject) -> None:
         """Replace or remove one item; all changes of one watch are delivered together."""
--- a/packages/router/seamhold/settings_follower.py
+++ b/packages/router/seamhold/settings_follower.py
@@ -1,6 +1,7 @@
 """Follows the settings on the few boxes that watch them, and repairs a platform rollback."""
 
 import random
+import time
 from collections.abc import Callable
 
 from seamhold_messages.errors import PlatformConflict, PlatformUnavailable, SettingsInvalid
@@ -51,13 +52,13 @@
             return True
         return self._box in self._watchers()
 
-    def next_watch_seconds(self, after_change: bool) -> float:
+    def next_watch_seconds(self) -> float:
         """Return how long the next watch may wait; the watchers take turns."""
         watchers = self._watchers()
-        if self._box not in watchers:
-            return WatchTurn().seconds(after_change)
-        turn = WatchTurn(watchers.index(self._box), len(watchers))
-        return turn.seconds(after_change)
+        turn = WatchTurn()
+        if self._box in watchers:
+            turn = WatchTurn(watchers.index(self._box), len(watchers))
+        return turn.seconds(time.time())
 
     def _watchers(self) -> list[str]:
         return owners(WATCHERS_KEY, self._live_boxes(), SETTINGS_WATCHERS)
--- a/packages/routing/seamhold_routing/watchers.py
+++ b/packages/routing/seamhold_routing/watchers.py
@@ -17,6 +17,8 @@
 #: Interval at which some box of the fleet begins a watch of each kind, in seconds.  An open
 #: watch does not show that the store still answers it; a new one does.
 WATCH_INTERVAL_SECONDS = 1.0
+#: A watch is no shorter than this, in seconds.
+MIN_WATCH_SECONDS = 0.1
 #: A watcher is assumed to have stopped when no heartbeat of it arrives for this long, or for
 #: this many times the time that an update takes to reach all boxes, whichever is longer.
 SILENT_SECONDS = 1.0
@@ -71,13 +73,18 @@
     position: int = 0
     watchers: int = 1
 
-    def seconds(self, after_change: bool) -> float:
-        """Return how long the next watch may wait for a change.
+    def seconds(self, unix_time: float) -> float:
+        """Return how long a watch that begins at `unix_time` may wait for a change.
 
-        A change ends the watches of all watchers at once.  The first watch after it therefore
-        ends at a different time at each watcher, and all later ones take equally long.
+        It ends at the next turn of this watcher.  Turns go by the wall clock, which boxes share:
+        a change ends the watches of all watchers at once, and a fault those of some.
         """
-        return WATCH_INTERVAL_SECONDS * (self.position + 1 if after_change else self.watchers)
+        round_seconds = WATCH_INTERVAL_SECONDS * self.watchers
+        until_turn = (WATCH_INTERVAL_SECONDS * self.position - unix_time) % round_seconds
+        if until_turn < MIN_WATCH_SECONDS:
+            # A watch that was answered a little early must not be followed by a very short one.
+            return until_turn + round_seconds
+        return until_turn
 
 
 class WatcherSelection:
