A failure whose body is cut keeps what its head says of the server (BUDGET, DRAIN)

A 503 whose body is cut lost its Retry-After, and three raises each handed the signs on by themselves.

Cause: the signs were attached at each raise, and the failure of reading the body is raised elsewhere. Change: they are attached once, to whatever failure the check of an answer raises.

--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -34,6 +34,7 @@
     Cancellation,
     EngineLoad,
     EngineRequest,
+    Verdict,
 )
 from ..probing import refuses_connections, was_refused
 from .events import EventCheck
@@ -220,6 +221,17 @@
         verdict = self._dialect.verdict(answer.status, answer.headers, request.request_id)
         answer.load = verdict.load
         answer.leaving = verdict.leaving
+        try:
+            self._raise_failure(answer, verdict)
+        except AttemptFailed as failure:
+            # A body that is cut does not change what the head says of the server.
+            failure.leaving = verdict.leaving
+            failure.rest_seconds = verdict.rest_seconds
+            raise
+
+    @staticmethod
+    def _raise_failure(answer: BackendAnswer, verdict: Verdict) -> None:
+        """Raise AttemptFailed if the server refused or failed, or answered another request."""
         if verdict.misdirected:
             error = EngineMisdirected(
                 'the server is not the expected instance', RETRY_AFTER_SECONDS
@@ -227,41 +239,18 @@
             raise AttemptFailed(Outcome.MISDIRECTED, error)
         if verdict.refused:
             error = EngineRefused(f'the server answered {answer.status}', RETRY_AFTER_SECONDS)
-            full = verdict.load is not None and verdict.load.is_full
-            # An engine that asks for rest does not fail.
-            full = full or verdict.rest_seconds > 0
+            # An engine that is full or asks for rest does not fail.
+            is_full = verdict.load is not None and verdict.load.is_full
+            full = is_full or verdict.rest_seconds > 0
             refused = Outcome.ENGINE_FULL if full else Outcome.ENGINE_REFUSED
-            raise AttemptFailed(
-                refused,
-                error,
-                verdict.leaving,
-                load=verdict.load,
-                rest_seconds=verdict.rest_seconds,
-            )
+            raise AttemptFailed(refused, error, load=verdict.load)
         if not verdict.genuine:
             mismatch = AnswerMismatch(f'the {answer.status} answer is not for this request')
-            raise AttemptFailed(
-                Outcome.FAILED, mismatch, verdict.leaving, rest_seconds=verdict.rest_seconds
-            )
+            raise AttemptFailed(Outcome.FAILED, mismatch)
         if answer.status >= 500:
-            own = Answer(answer.status, dict(answer.headers), self._whole(answer))
+            own = Answer(answer.status, dict(answer.headers), answer.whole())
             failed = EngineFailed(f'the server answered {answer.status}')
-            raise AttemptFailed(
-                Outcome.ANSWERED_FAILURE,
-                failed,
-                verdict.leaving,
-                own,
-                rest_seconds=verdict.rest_seconds,
-            )
-
-    @staticmethod
-    def _whole(answer: BackendAnswer) -> bytes:
-        """Return the body of a failure; raises AttemptFailed, with the head's sign, if cut."""
-        try:
-            return answer.whole()
-        except AttemptFailed as failure:
-            failure.leaving = answer.leaving
-            raise
+            raise AttemptFailed(Outcome.ANSWERED_FAILURE, failed, answer=own)
 
     def has_ended(self, placed: Placed) -> bool:
         """Whether the server's process ended: its port refuses connections."""
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -96,12 +96,11 @@
         answer: Answer | None = None,
         load: EngineLoad | None = None,
         connection_refused: bool = False,
-        rest_seconds: float = 0.0,
     ):
         super().__init__(str(error))
         self.load = load
         self.connection_refused = connection_refused
-        self.rest_seconds = rest_seconds
+        self.rest_seconds = 0.0
         self.outcome = outcome
         self.error = error
         self.leaving = leaving
