What engines report with their answers has a module of its own

The runner had grown to 412 lines with two jobs: carrying a call through its attempts, and passing on the load, leaves and rests that answers report. The second is engine_reports now, with one method for whole answers and one for failures. No logic changes; 174 tests of the router, the dialect and the view pass.

--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -6,14 +6,13 @@
 
 from msgspec.structs import replace
 
-from seamhold_attempts.retry import NOT_RUN, REFUSALS, UNSENT, Outcome, may_retry
+from seamhold_attempts.retry import NOT_RUN, UNSENT, Outcome, may_retry
 from seamhold_messages.errors import (
     AnswerCut,
     AnswerMismatch,
     AnswerTimeout,
     CallerLeft,
     DeadlinePassed,
-    EngineRefused,
     Ran,
     RequestOnTrial,
     RequestQuarantined,
@@ -33,11 +32,9 @@
     AnswerStarted,
     AttemptEnded,
     CallClosed,
-    EngineLeaving,
-    EngineLoadReported,
-    EngineResting,
     RetryCall,
 )
+from .engine_reports import EngineReports
 from .job import Attempt, Job
 from .logs import logger
 from .metrics import Metrics
@@ -45,7 +42,6 @@
     Answer,
     AttemptFailed,
     Backends,
-    EngineLoad,
     EngineRequest,
     OpenAnswer,
     StreamCheck,
@@ -58,8 +54,6 @@
 #: each costs the whole connect timeout.  Servers that have ended refuse within a round trip
 #: and are not counted: a call tries each once, and the box then avoids them.
 SILENT_MAX = 4
-#: Retry-After of a call that was withdrawn from its engine, in seconds.
-RETRY_AFTER_SECONDS = 0.25
 #: Outcomes that may mean that the engine ended.
 ENGINE_END_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN})
 
@@ -82,6 +76,7 @@
         self._budgets = budgets
         self._environment = environment
         self._metrics = metrics
+        self._reports = EngineReports(decider, metrics)
         self._log = logger('runner')
 
     def run(self, job: Job) -> Answer:
@@ -203,50 +198,21 @@
         """Start one attempt and count it by whether it reached its server."""
         job.attempts.append(Attempt(placed, self._environment.monotonic()))
         try:
-            self._check_engine(placed)
+            self._reports.check_takes_work(placed)
             answer = self._engines.open(placed, request, self._remaining(job), job.cancellation)
         except AttemptFailed as failure:
             if failure.outcome not in UNSENT:
                 job.sent += 1
             elif failure.outcome is Outcome.NOT_SENT and not failure.connection_refused:
                 job.silent += 1
-            if failure.leaving:
-                self._report_leaving(job, placed)
-            if failure.rest_seconds:
-                job.attempts[-1].rest_seconds = failure.rest_seconds
-                self._decider.send(EngineResting(placed.engine, failure.rest_seconds))
-            if failure.outcome in REFUSALS:
-                job.attempts[-1].refusal = failure.refusal
-                self._metrics.count(f'engine_refused.{failure.refusal}')
-            self._record_load(job, placed, failure.load)
+            self._reports.record_failure(job, placed, failure)
             raise
         job.sent += 1
-        if answer.leaving:
-            self._report_leaving(job, placed)
-        self._record_load(job, placed, answer.load)
+        self._reports.record_answer(job, placed, answer)
         job.attempts[-1].answered_at = self._environment.monotonic()
         self._decider.send(AnswerStarted(job.call.id))
         return answer
 
-    def _check_engine(self, placed: Placed) -> None:
-        """Raise AttemptFailed if the engine said after the placement that it takes no work."""
-        if not self._decider.takes_work(placed.engine, placed.incarnation):
-            error = EngineRefused('the engine takes no new work', RETRY_AFTER_SECONDS)
-            raise AttemptFailed(Outcome.WITHDRAWN, error)
-
-    def _report_leaving(self, job: Job, placed: Placed) -> None:
-        job.attempts[-1].leaving = True
-        self._decider.send(EngineLeaving(placed.engine, placed.incarnation))
-
-    def _record_load(self, job: Job, placed: Placed, load: EngineLoad | None) -> None:
-        if load is None:
-            return
-        job.attempts[-1].reported_load = load
-        # The call itself was not part of the load when it was placed.
-        self._metrics.belief_error(job.call.service, load.requests - placed.load - 1)
-        began_at = job.attempts[-1].began_at
-        self._decider.send(EngineLoadReported(placed.engine, load.requests, began_at))
-
     def _retry_placement(
         self, job: Job, placed: Placed, failure: AttemptFailed, streaming: bool
     ) -> Placed:
