What engines say of themselves has a module of its own

EngineView (419 lines) kept the leave and rest marks in three maps beside its list and suspicions, with their expiry spread over it. SelfReports holds both: only a new incarnation ends a leave, only time a rest. One difference: a mark's grace off the list ends when the engine is listed again, where a stale entry stayed behind before without effect. The mutant that forgets a leave follows the new name.

--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -3,10 +3,11 @@
 from .box_view import BoxView
 from .budget import ByteBudget
 from .digest import Digest, DigestReceiver, DigestSender
-from .engine_view import REST_MAX_SECONDS, EngineView, Serving
+from .engine_view import EngineView, Serving
 from .gossip import Event, EventKind, EventLog
 from .outliers import FailureCounts, outliers
 from .relay import GossipBuffer
+from .self_reports import REST_MAX_SECONDS
 from .unused import ServiceUse, UnusedReason
 
 __all__ = [
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -16,6 +16,7 @@
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Suspect
 
+from .self_reports import SelfReports
 from .suspicion import Suspicion
 from .unused import ServiceUse, UnusedReason, service_use
 
@@ -25,12 +26,8 @@
     UnusedReason.EVACUATED: Phase.EVACUATED,
     UnusedReason.RESTING: Phase.LIVE,
 }
-#: An engine rests at most this long after a refusal, in seconds: a wrong value must not take
-#: it out of use for good.
-REST_MAX_SECONDS = 300.0
-#: An engine that drops off the list while it is leaving keeps that mark for this long, in
-#: seconds: its entry may only have lapsed, and the engine serves on for some time.
-LEAVING_KEPT_SECONDS = 300.0
+#: Why an engine gets no new work although no call to it failed.
+UNUSED_BY_PLAN = frozenset({UnusedReason.LEAVING, UnusedReason.EVACUATED})
 #: Slow start: the shares of its weight that a newly seen engine gets, step by step, before 1.
 RISING_STEPS = (0.25, 0.5, 0.75)
 
@@ -108,18 +105,14 @@
         self._states: dict[str, _EngineState] = {}
         #: Engines that dropped off the list during an outage of the platform.
         self._unlisted: set[str] = set()
-        self._leaving: dict[str, str] = {}
-        #: Engines that are not listed, and until when they still count as leaving.
-        self._leaving_until: dict[str, float] = {}
-        #: Until when engines want no requests from this box.
-        self._resting_until: dict[str, float] = {}
+        self._self_reports = SelfReports()
         self._has_list = False
         self._serving_cache: dict[str, Serving] = {}
 
     def set_list(self, engines: list[Engine], now: float) -> None:
         """Apply the platform's list, which may lag."""
         self._serving_cache.clear()
-        self._forget_old_marks(now)
+        self._self_reports.forget(now)
         engines = without_foreign_entries(engines, self._states)
         names = {engine.name for engine in engines}
         self._drop(self._replaced(engines, names), now)
@@ -145,18 +138,7 @@
     def _drop(self, names: list[str], now: float) -> None:
         for name in names:
             del self._states[name]
-            if name in self._leaving:
-                self._leaving_until[name] = now + LEAVING_KEPT_SECONDS
-
-    def _forget_old_marks(self, now: float) -> None:
-        """Forget rests that are over and leaving engines that have not been listed for long."""
-        for name, until in list(self._leaving_until.items()):
-            if name not in self._states and now >= until:
-                del self._leaving_until[name]
-                del self._leaving[name]
-        for name, until in list(self._resting_until.items()):
-            if now >= until:
-                del self._resting_until[name]
+            self._self_reports.set_unlisted(name, now)
 
     def _replaced(self, engines: list[Engine], names: set[str]) -> list[str]:
         """Return the engines whose address a new engine has: an outage does not explain them."""
@@ -168,9 +150,10 @@
         ]
 
     def _set_engine(self, engine: Engine, now: float) -> None:
+        self._self_reports.set_listed(engine.name)
         existing = self._states.get(engine.name)
         if engine.phase is Phase.LEAVING:
-            self._leaving[engine.name] = engine.incarnation
+            self._self_reports.mark_leaving(engine.name, engine.incarnation)
         if existing and existing.engine.incarnation == engine.incarnation:
             if engine.cold_seconds != existing.engine.cold_seconds:
                 existing.cold_until = now + engine.cold_seconds
@@ -199,15 +182,14 @@
 
         The engine may not be listed, or no longer.
         """
-        self._leaving[name] = incarnation
+        self._self_reports.mark_leaving(name, incarnation)
         if name not in self._states:
-            self._leaving_until[name] = now + LEAVING_KEPT_SECONDS
+            self._self_reports.set_unlisted(name, now)
         self._serving_cache.clear()
 
     def mark_resting(self, name: str, seconds: float, now: float) -> None:
         """Record that an engine wants no requests from this box for so long."""
-        until = now + min(seconds, REST_MAX_SECONDS)
-        self._resting_until[name] = max(until, self._resting_until.get(name, until))
+        self._self_reports.mark_resting(name, seconds, now)
         self._serving_cache.clear()
 
     def rest_left(self, service: str, now: float) -> float | None:
@@ -216,18 +198,15 @@
         None if none rests.
         """
         ends = [
-            self._resting_until[name]
+            self._self_reports.rest_ends(name)
             for name, reason in self.serving(service, now).unused.items()
             if reason is UnusedReason.RESTING
         ]
         return min(ends) - now if ends else None
 
     def takes_work(self, name: str, incarnation: str, now: float) -> bool:
-        """Whether this start of an engine accepts new work, as far as it has said."""
-        return self._leaving.get(name) != incarnation and not self._rests(name, now)
-
-    def _rests(self, name: str, now: float) -> bool:
-        return now < self._resting_until.get(name, -math.inf)
+        """Return whether this start of an engine accepts new work, as far as it has said."""
+        return self._self_reports.takes_work(name, incarnation, now)
 
     def record_failure(
         self, name: str, now: float, evidence: float = 1.0, answered: bool = False
@@ -308,11 +287,11 @@
     def _unused_reason(self, state: _EngineState, now: float) -> UnusedReason | None:
         """Return why a listed engine gets no new work, None if it may get some."""
         engine = state.engine
-        if self._leaving.get(engine.name) == engine.incarnation:
+        if self._self_reports.is_leaving(engine.name, engine.incarnation):
             return UnusedReason.LEAVING
         if engine.failure_domain in self._evacuated:
             return UnusedReason.EVACUATED
-        if self._rests(engine.name, now):
+        if now < self._self_reports.rest_ends(engine.name):
             return UnusedReason.RESTING
         return state.suspicion.reason(now)
 
@@ -342,7 +321,7 @@
             name
             for name, state in self._states.items()
             if state.engine.service == service
-            and self._leaving.get(name) != state.engine.incarnation
+            and not self._self_reports.is_leaving(name, state.engine.incarnation)
         ]
 
     def service_use(self, service: str, now: float) -> ServiceUse:
@@ -388,10 +367,9 @@
                 usable[name] = state.engine
             else:
                 reasons[name] = reason
+                group = leaving if reason in UNUSED_BY_PLAN else suspects
                 if reason is UnusedReason.RESTING:
                     group = resting
-                else:
-                    group = leaving if reason in PHASE_OF else suspects
                 group[name] = state.engine
             until = min(until, self._next_change(state, now))
         usable |= {name: suspects[name] for name in self._beyond_ejection_limit(usable, suspects)}
@@ -410,7 +388,7 @@
     def _next_change(self, state: _EngineState, now: float) -> float:
         """Return when the treatment of an engine may next change by time alone."""
         times = [*state.suspicion.expiry_times, state.cold_until]
-        times.append(self._resting_until.get(state.engine.name, -math.inf))
+        times.append(self._self_reports.rest_ends(state.engine.name))
         if state.rising:
             step = self.rising_seconds / len(RISING_STEPS)
             times += [
--- /dev/null
+++ b/packages/membership/seamhold_membership/self_reports.py
@@ -0,0 +1,64 @@
+"""What engines say of themselves: that they leave, or want no requests for a while.
+
+Unlike suspicions, these are no evidence that other observations could outweigh.
+"""
+
+import math
+
+#: An engine rests at most this long after a refusal, in seconds: a wrong value must not take
+#: it out of use for good.
+REST_MAX_SECONDS = 300.0
+#: An engine that drops off the list while it is leaving keeps that mark for this long, in
+#: seconds: its entry may only have lapsed, and the engine serves on for some time.
+LEAVING_KEPT_SECONDS = 300.0
+
+
+class SelfReports:
+    """The engines that leave, by name and incarnation, and those that rest, by name.
+
+    Only a new incarnation ends a leave, and only time ends a rest.
+    """
+
+    def __init__(self):
+        self._leaving: dict[str, str] = {}
+        #: Engines that are not listed, and until when they still count as leaving.
+        self._leaving_until: dict[str, float] = {}
+        self._resting_until: dict[str, float] = {}
+
+    def mark_leaving(self, name: str, incarnation: str) -> None:
+        """Record that an engine takes no new work."""
+        self._leaving[name] = incarnation
+
+    def mark_resting(self, name: str, seconds: float, now: float) -> None:
+        """Record that an engine wants no requests from this box for so long."""
+        until = now + min(seconds, REST_MAX_SECONDS)
+        self._resting_until[name] = max(until, self.rest_ends(name))
+
+    def is_leaving(self, name: str, incarnation: str) -> bool:
+        """Return whether this start of an engine leaves."""
+        return self._leaving.get(name) == incarnation
+
+    def rest_ends(self, name: str) -> float:
+        """Return when the engine's last rest ends, minus infinity if it never rested."""
+        return self._resting_until.get(name, -math.inf)
+
+    def takes_work(self, name: str, incarnation: str, now: float) -> bool:
+        """Return whether this start of an engine accepts new work."""
+        return not self.is_leaving(name, incarnation) and now >= self.rest_ends(name)
+
+    def set_unlisted(self, name: str, now: float) -> None:
+        """Record that an engine is not listed, or no longer."""
+        if name in self._leaving:
+            self._leaving_until[name] = now + LEAVING_KEPT_SECONDS
+
+    def set_listed(self, name: str) -> None:
+        """Record that an engine is listed: its marks are kept from now on."""
+        self._leaving_until.pop(name, None)
+
+    def forget(self, now: float) -> None:
+        """Drop rests that are over, and engines that left the list long ago."""
+        for name in [name for name, until in self._leaving_until.items() if now >= until]:
+            del self._leaving_until[name]
+            del self._leaving[name]
+        for name in [name for name, until in self._resting_until.items() if now >= until]:
+            del self._resting_until[name]
--- a/scenarios/mutants.py
+++ b/scenarios/mutants.py
@@ -154,7 +154,7 @@
     Mutant(
         'a leaving engine is not remembered',
         'membership/seamhold_membership/engine_view.py',
-        'if self._leaving.get(engine.name) == engine.incarnation:',
+        'if self._self_reports.is_leaving(engine.name, engine.incarnation):',
         'if engine.phase is Phase.LEAVING:',
         'A list that reverts does not revive a leaving engine',
     ),
