--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -1,7 +1,6 @@
 """Relayed updates: engine load, failure reports and heartbeats of store watchers."""
 
 import random
-from itertools import pairwise
 
 import testtools
 from hypothesis import given
@@ -20,12 +19,6 @@
 from seamhold_routing import Router, Versions
 from seamhold_routing.exchange import MIN_NEWER_SECONDS
 from seamhold_routing.relaying import MAX_UPDATE_AGE_SECONDS
-from seamhold_routing.watchers import (
-    WATCH_INTERVAL_SECONDS,
-    WATCHERS,
-    WatcherSelection,
-    WatchTurn,
-)
 
 
 class TestRelayLog(testtools.TestCase):
@@ -333,86 +326,3 @@
         self.assertEqual('box-2', heartbeat.box)
         for age, update in ((0.1, reading), (0.2, report), (0.3, heartbeat)):
             self.assertTrue(age < update.age <= age + 0.02001, update)
-
-
-class TestWatcherSelection(testtools.TestCase):
-    LIVE = tuple(f'box-{number}' for number in range(195))
-    SILENT = 1.0
-
-    def watchers(self, selections: dict[str, WatcherSelection], now: float, lost=()) -> set[str]:
-        return {
-            name
-            for name, selection in selections.items()
-            if selection.watches(self.LIVE, lost, self.SILENT, now)
-        }
-
-    def selections(self) -> dict[str, WatcherSelection]:
-        selections = {name: WatcherSelection(name) for name in self.LIVE}
-        for selection in selections.values():
-            selection.begin(0.0)
-        return selections
-
-    def test_a_fixed_number_of_boxes_of_the_whole_fleet_watch(self):
-        self.assertEqual(WATCHERS, len(self.watchers(self.selections(), 0.5)))
-
-    def test_watchers_without_heartbeats_are_replaced(self):
-        selections = self.selections()
-        first = self.watchers(selections, 0.5)
-        dead = sorted(first)[:2]
-        for selection in selections.values():
-            for name in first - {*dead}:
-                selection.record_heartbeat(name, 1.4)
-        second = self.watchers(selections, 1.5)
-        self.assertEqual(WATCHERS, len(second - {*dead}))
-        self.assertTrue(first - {*dead} <= second)
-
-    def test_replacements_that_are_silent_too_are_replaced_in_turn(self):
-        selections = self.selections()
-        seen = set()
-        for step in range(4):
-            seen |= self.watchers(selections, 0.5 + step * 1.1)
-        self.assertEqual(4 * WATCHERS, len(seen))
-
-    def test_a_box_that_lost_the_store_is_skipped_at_once(self):
-        selections = self.selections()
-        lost = self.watchers(selections, 0.5)
-        self.assertEqual(WATCHERS, len(self.watchers(selections, 0.6, lost=lost) - lost))
-
-    def test_watchers_take_turns(self):
-        selections = self.selections()
-        turns = [selections[name].turn for name in self.watchers(selections, 0.5)]
-        self.assertEqual(list(range(WATCHERS)), sorted(turn.position for turn in turns))
-        self.assertEqual({WATCHERS}, {turn.watchers for turn in turns})
-
-    def test_a_fleet_with_fewer_boxes_than_watchers_takes_shorter_turns(self):
-        selection = WatcherSelection('box-1')
-        selection.begin(0.0)
-        self.assertTrue(selection.watches(('box-1', 'box-2'), ('box-2',), self.SILENT, 0.5))
-        self.assertEqual(WatchTurn(0, 1), selection.turn)
-
-    def test_some_watch_begins_every_second_after_a_change(self):
-        change_at = 1000.25
-        begins = []
-        for position in range(WATCHERS):
-            turn = WatchTurn(position, WATCHERS)
-            at = change_at + turn.seconds(change_at)
-            while at < change_at + 20.0:
-                begins.append(at)
-                at += turn.seconds(at)
-        times = [change_at, *sorted(begins)]
-        gaps = [after - before for before, after in pairwise(times)]
-        self.assertLessEqual(max(gaps), WATCH_INTERVAL_SECONDS)
-        self.assertEqual(20, len(begins))
-
-    def test_watch_that_ends_just_before_its_turn_is_not_followed_by_a_very_short_one(self):
-        turn = WatchTurn(1, WATCHERS)
-        self.assertAlmostEqual(4.001, turn.seconds(1000.999))
-
-    def test_a_watcher_that_returns_watches_again(self):
-        selections = self.selections()
-        first = self.watchers(selections, 0.5)
-        self.watchers(selections, 1.6)
-        for selection in selections.values():
-            for name in first:
-                selection.record_heartbeat(name, 2.0)
-        self.assertEqual(first, self.watchers(selections, 2.1))
