--- a/packages/router/seamhold/engine_reports.py
+++ b/packages/router/seamhold/answer_reports.py
@@ -14,7 +14,7 @@
 RETRY_AFTER_SECONDS = 0.25
 
 
-class EngineReports:
+class AnswerReports:
     """Records the reports in the call's attempt, and sends them to the decider."""
 
     def __init__(self, decider: Decider, metrics: Metrics):
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -23,6 +23,7 @@
 from seamhold_messages.work import Placed, Refused
 from seamhold_quarantine import SUSPECT_ENDS, TrialRequest
 
+from .answer_reports import AnswerReports
 from .budgets import RetryBudgets
 from .context import Environment
 from .decider import Decider
@@ -34,7 +35,6 @@
     CallClosed,
     RetryCall,
 )
-from .engine_reports import EngineReports
 from .job import Attempt, Job
 from .logs import logger
 from .metrics import Metrics
@@ -76,7 +76,7 @@
         self._budgets = budgets
         self._environment = environment
         self._metrics = metrics
-        self._reports = EngineReports(decider, metrics)
+        self._reports = AnswerReports(decider, metrics)
         self._log = logger('runner')
 
     def run(self, job: Job) -> Answer:
