--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the review's scripts share."""
