--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from common.client import Client
-from common.fleet import CannotRun, Fleet
+from common.fleet import CannotRun, Fleet, exit_on_sigterm
 from common.worker import Worker
 from dialect_tests.standin_store import StandInStore
 
@@ -55,6 +55,7 @@
 
 def main() -> int:
     """Run the case; return 1 if DRAIN was broken, 0 if it held, 2 if the case could not run."""
+    exit_on_sigterm()
     trouble = os.environ.get('TROUBLE', '1') != '0'
     store = StandInStore().start()
     workers = [Worker(f'i-{number}', WORK_SECONDS) for number in range(1, 4)]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from common.client import Client
-from common.fleet import CannotRun, Fleet
+from common.fleet import CannotRun, Fleet, exit_on_sigterm
 from common.links import Links
 from common.worker import Worker
 from dialect_tests.standin_store import Objects, StandInStore
@@ -58,6 +58,7 @@
 
 def main() -> int:
     """Run the case; return 1 if CONFIG was broken, 0 if it held, 2 if the case could not run."""
+    exit_on_sigterm()
     trouble = os.environ.get('TROUBLE', '1') != '0'
     objects = Objects()
     names = [f'front-{number}' for number in range(1, BOXES + 1)]
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -3,8 +3,10 @@
 import http.client
 import os
 import random
+import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from dataclasses import dataclass
@@ -26,6 +28,11 @@
     """The case could not be set up, which says nothing about the rule."""
 
 
+def exit_on_sigterm() -> None:
+    """Let SIGTERM end the case like an exception, so that its processes are ended too."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 def free_port() -> int:
     """Return a free port below the range from which outgoing connections take theirs.
 
