Decode each object of the platform by itself

Cause: an answer of the platform was decoded as one value. An error in any object of it (nesting beyond the interpreter's limit, in the decoder or in the walk that replaces surrogates) failed the whole list or watch, and was taken for a store that is down, for as long as the object stood.

Ruled out: msgspec.Raw, which recurses as it skips a value, and fails with RecursionError on 5,000 levels as json does; a fallback for the answers that fail (two ways through the same code).

An answer that cannot be read at all is platform_unreadable: it is logged as such, is no loss of the store, and a watch that ends so is retried with the pause of a failure instead of being listed again at once.

--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -346,6 +346,12 @@
     code = 'platform_throttled'
 
 
+class PlatformUnreadable(PlatformUnavailable):
+    """The platform's answer cannot be read; a write may have landed."""
+
+    code = 'platform_unreadable'
+
+
 class EntryUnreadable(SeamholdError):
     """An entry of a list lacks a field or has one of another type: it names nothing."""
 
--- a/packages/platform/seamhold_platform/client.py
+++ b/packages/platform/seamhold_platform/client.py
@@ -4,10 +4,9 @@
 have been applied, and only the calling code knows how to check that.
 """
 
-import json
 import math
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import urllib3
 
@@ -17,9 +16,11 @@
     PlatformNotFound,
     PlatformThrottled,
     PlatformUnavailable,
+    PlatformUnreadable,
 )
 
-from .objects import ObjectKind, Page, PlatformObject, WatchEvent, WatchKind
+from .json_parts import JsonUnreadable, decode, elements, members
+from .objects import VERSION_FIELD, ObjectKind, Page, PlatformObject, WatchEvent, WatchKind
 
 API_ROOT = '/apis/seamhold/v1'
 CONNECT_SECONDS = 1.0
@@ -34,17 +35,21 @@
     429: PlatformThrottled,
 }
 READ_CHUNK_BYTES = 64 * 1024
+#: Type of the event that ends a watch from a version that is too old.
+ERROR = 'ERROR'
 
 
 class PlatformClient:
     """One box's client of the object API.
 
-    `calls` counts calls by verb; a watch counts as one call.
+    `calls` counts calls by verb; a watch counts as one call.  `unnamed` counts objects that were
+    left out because they have no readable name.
     """
 
     def __init__(self, url: str, pool_size: int = 4):
         self.url = url.rstrip('/')
         self.calls: Counter[str] = Counter()
+        self.unnamed = 0
         self._pool = urllib3.PoolManager(
             maxsize=pool_size,
             retries=False,
@@ -71,11 +76,23 @@
         answer.release_conn()
         return kind(f'{verb}: the platform answered {answer.status}')
 
-    def _json(self, verb: str, answer) -> dict:
+    def _object(self, verb: str, kind: ObjectKind, answer) -> PlatformObject:
+        """Return the only object of an answer; raises PlatformUnreadable."""
         try:
-            return answer.json()
-        except (ValueError, urllib3.exceptions.HTTPError) as error:
-            raise PlatformUnavailable(f'{verb}: unreadable answer') from error
+            item = PlatformObject.from_json(answer.data, kind)
+        except JsonUnreadable as error:
+            raise PlatformUnreadable(f'{verb}: {error}') from error
+        if item.unreadable:
+            raise PlatformUnreadable(f'{verb}: {item.unreadable}')
+        return item
+
+    def _named(self, kind: ObjectKind, texts: Iterable[bytes]) -> Iterator[PlatformObject]:
+        """Yield the objects that have a name."""
+        for text in texts:
+            try:
+                yield PlatformObject.from_json(text, kind)
+            except JsonUnreadable:
+                self.unnamed += 1
 
     def list(self, kind: ObjectKind, stale: bool = False) -> Page:
         """Return all objects of a kind and the version to watch from.
@@ -83,14 +100,18 @@
         With `stale` the platform may answer from its cache (resource version 0).
         """
         fields = {'resourceVersion': '0'} if stale else None
-        value = self._json('list', self._call('list', 'GET', self._path(kind), fields=fields))
-        objects = [PlatformObject.from_wire(item) for item in value.get('items', [])]
-        return Page(objects, str(value.get('metadata', {}).get('resourceVersion', '')))
+        answer = self._call('list', 'GET', self._path(kind), fields=fields)
+        try:
+            page = members(answer.data)
+            version = str(decode(page['metadata'])[VERSION_FIELD])
+            items = elements(page['items'])
+        except (JsonUnreadable, KeyError, TypeError) as error:
+            raise PlatformUnreadable(f'list: {error!r}') from error
+        return Page([*self._named(kind, items)], version)
 
     def get(self, kind: ObjectKind, name: str) -> PlatformObject:
         """Return one object; raises PlatformNotFound."""
-        value = self._json('get', self._call('get', 'GET', self._path(kind, name)))
-        return PlatformObject.from_wire(value)
+        return self._object('get', kind, self._call('get', 'GET', self._path(kind, name)))
 
     def put(self, kind: ObjectKind, item: PlatformObject) -> PlatformObject:
         """Write the object if it is still at `item.version`; '' creates it.
@@ -102,8 +123,7 @@
             path, method = self._path(kind, item.name), 'PUT'
         else:
             path, method = self._path(kind), 'POST'
-        answer = self._call('put', method, path, item.to_wire())
-        return PlatformObject.from_wire(self._json('put', answer))
+        return self._object('put', kind, self._call('put', method, path, item.to_wire()))
 
     def delete(self, kind: ObjectKind, name: str, version: str) -> None:
         """Delete the object if it is still at `version`; raises PlatformConflict if not."""
@@ -133,23 +153,31 @@
             preload_content=False,
         )
         try:
-            yield from self._events(answer)
-        except (ValueError, urllib3.exceptions.HTTPError) as error:
+            yield from self._events(kind, answer)
+        except urllib3.exceptions.HTTPError as error:
             raise PlatformUnavailable(f'watch: {error}') from error
         finally:
             answer.close()
 
-    def _events(self, answer) -> Iterator[WatchEvent]:
+    def _events(self, kind: ObjectKind, answer) -> Iterator[WatchEvent]:
         pending = b''
         while chunk := answer.read1(READ_CHUNK_BYTES):
             *lines, pending = (pending + chunk).split(b'\n')
             for line in filter(None, lines):
-                yield self._event(json.loads(line))
+                yield from self._event(kind, line)
 
-    def _event(self, value: dict) -> WatchEvent:
-        if value.get('type') == 'ERROR':
+    def _event(self, kind: ObjectKind, line: bytes) -> Iterator[WatchEvent]:
+        try:
+            event = members(line)
+            change = decode(event['type'])
+            if change != ERROR:
+                change = WatchKind(change)
+        except (JsonUnreadable, KeyError, ValueError) as error:
+            raise PlatformUnreadable(f'watch: {error!r}') from error
+        if change == ERROR:
             raise PlatformGone('watch: the version is too old')
-        return WatchEvent(WatchKind(value['type']), PlatformObject.from_wire(value['object']))
+        for item in self._named(kind, [event.get('object', b'null')]):
+            yield WatchEvent(change, item)
 
     def close(self) -> None:
         """Close all pooled connections."""
--- a/packages/platform/seamhold_platform/objects.py
+++ b/packages/platform/seamhold_platform/objects.py
@@ -4,6 +4,12 @@
 
 from msgspec import Struct, field
 
+from .json_parts import OBJECT_MAX_BYTES, JsonUnreadable, decode, members
+
+#: Limit on one entry of a list.
+ENTRY_MAX_BYTES = 64 * 1024
+VERSION_FIELD = 'resourceVersion'
+
 
 class ObjectKind(StrEnum):
     """The collections that this project reads or writes."""
@@ -16,25 +22,47 @@
     QUARANTINE = 'quarantine'
 
 
+#: The collections that hold an entry for each member; objects of the others are large.
+LISTS = frozenset(
+    {ObjectKind.BOXES, ObjectKind.ENGINES, ObjectKind.EVACUATIONS, ObjectKind.QUARANTINE}
+)
+
+
 class PlatformObject(Struct, frozen=True):
-    """One object; `version` is opaque, only equality counts, and '' means not stored yet."""
+    """One object; `version` is opaque, only equality counts, and '' means not stored yet.
+
+    `unreadable` is why the content could not be decoded; `spec` is empty then.
+    """
 
     name: str
     spec: dict = field(default_factory=dict)
     version: str = ''
+    unreadable: str = ''
 
     @classmethod
-    def from_wire(cls, value: dict) -> 'PlatformObject':
-        """Decode an object from the platform's JSON."""
-        metadata = value.get('metadata', {})
-        version = str(metadata.get('resourceVersion', ''))
-        return cls(metadata.get('name', ''), value.get('spec') or {}, version)
+    def from_json(
+        cls, text: bytes, kind: ObjectKind, version_field: str = VERSION_FIELD
+    ) -> 'PlatformObject':
+        """Decode an object from the platform's JSON; raises JsonUnreadable if it has no name."""
+        limit = ENTRY_MAX_BYTES if kind in LISTS else OBJECT_MAX_BYTES
+        try:
+            value = decode(text, limit)
+            unreadable = ''
+        except JsonUnreadable as error:
+            # The metadata may still tell which object this is.
+            value = {'metadata': decode(members(text).get('metadata', b'null'))}
+            unreadable = str(error)
+        metadata = value.get('metadata') if isinstance(value, dict) else None
+        if not isinstance(metadata, dict) or not isinstance(metadata.get('name'), str):
+            raise JsonUnreadable(unreadable or 'the object has no name')
+        version = str(metadata.get(version_field, ''))
+        return cls(metadata['name'], value.get('spec') or {}, version, unreadable)
 
     def to_wire(self) -> dict:
         """Return the object as the platform's JSON."""
         metadata = {'name': self.name}
         if self.version:
-            metadata['resourceVersion'] = self.version
+            metadata[VERSION_FIELD] = self.version
         return {'metadata': metadata, 'spec': self.spec}
 
 
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -11,6 +11,7 @@
     PlatformGone,
     PlatformThrottled,
     PlatformUnavailable,
+    PlatformUnreadable,
     SeamholdError,
 )
 from seamhold_platform import ObjectKind, PlatformObject, WatchKind
@@ -46,6 +47,7 @@
         self.log = logger(f'follow-{self.kind}')
         self._rng = rng
         self._lost_at: float | None = None
+        self._unreadable_at: float | None = None
         #: When the platform last answered a call of this follower, on the box's clock.
         self._answered_at: float | None = None
         self._starting_until = boot_seconds() + self.starting_seconds
@@ -101,6 +103,9 @@
     def on_unreachable(self) -> None:
         """Called after each call that the platform did not answer."""
 
+    def on_unreadable(self) -> None:
+        """Called after each answer that cannot be read; the platform itself is reachable."""
+
     def _run(self) -> None:
         pause = RETRY_SECONDS
         while not self._stopped.is_set():
@@ -116,9 +121,7 @@
             except SeamholdError as error:
                 if self._stopped.is_set():
                     return
-                self.metrics.count(f'platform.{self.kind}.{error.code}')
-                self._record_lost(error)
-                self.on_unreachable()
+                self._handle_failure(error)
                 # Jitter keeps the boxes from all reconnecting at once.
                 self._stopped.wait(pause * self._rng.uniform(0.5, 1.5))
                 pause = min(self.retry_max_seconds, pause * 2)
@@ -126,6 +129,15 @@
                 self.log.exception('follow.error')
                 self._stopped.wait(RETRY_SECONDS)
 
+    def _handle_failure(self, error: SeamholdError) -> None:
+        self.metrics.count(f'platform.{self.kind}.{error.code}')
+        if isinstance(error, PlatformUnreadable):
+            self._record_unreadable_answer(error)
+            self.on_unreadable()
+        else:
+            self._record_lost(error)
+            self.on_unreachable()
+
     def _follow(self) -> None:
         """List and watch until this box stops following or a watch is not answered."""
         page = self.platform.list(self.kind)
@@ -136,7 +148,7 @@
         while not self._stopped.is_set() and self.should_follow():
             try:
                 changed = self._watch_once(self.next_watch_seconds())
-            except PlatformThrottled:
+            except (PlatformThrottled, PlatformUnreadable):
                 raise
             except PlatformUnavailable as error:
                 # Only this connection may be silent: the next list shows whether the store is.
@@ -190,12 +202,24 @@
                 confirmed=self._rounded_age(),
             )
 
+    def _record_unreadable_answer(self, error: SeamholdError) -> None:
+        """Log the first of a series of answers that cannot be read."""
+        if self._unreadable_at is None:
+            self._unreadable_at = boot_seconds()
+            self.log.error(
+                'platform.unreadable', detail=error.detail, confirmed=self._rounded_age()
+            )
+
     def _record_answer(self) -> None:
         self._answered_at = boot_seconds()
         self._record_regained()
         self.on_answer()
 
     def _record_regained(self) -> None:
+        if self._unreadable_at is not None:
+            lasted = round(boot_seconds() - self._unreadable_at, 3)
+            self._unreadable_at = None
+            self.log.info('platform.readable', seconds=lasted)
         if self._lost_at is not None:
             lasted = round(boot_seconds() - self._lost_at, 3)
             self._lost_at = None
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -262,6 +262,10 @@
         """Request the lists from other boxes, which may have newer ones."""
         self._source.request_lists()
 
+    def on_unreadable(self) -> None:
+        """Request the lists from other boxes, which may be able to read them."""
+        self._source.request_lists()
+
 
 class EvacuationsFollower(VersionedListFollower):
     """Follows the list of evacuations, which is nearly always empty.
--- a/packages/router/seamhold/list_follower.py
+++ b/packages/router/seamhold/list_follower.py
@@ -84,11 +84,13 @@
 
     def _put(self, item: PlatformObject) -> None:
         try:
+            if item.unreadable:
+                raise EntryUnreadable(item.unreadable)
             self._items[item.name] = self._read(item)
             self._unreadable.pop(item.name, None)
         except EntryUnreadable as error:
             self._drop_unreadable(item, error)
-        except (AttributeError, TypeError, ValueError) as error:
+        except (AttributeError, TypeError, ValueError, OverflowError) as error:
             self._drop_unreadable(item, EntryUnreadable(repr(error)))
 
     def _drop_unreadable(self, item: PlatformObject, error: EntryUnreadable) -> None:
