Send peers a list without the items that have no encoding

Cause: one item that MessagePack cannot carry (text without UTF-8, an integer above 64 bits, a value nested too deep) failed the whole reply, for lists, cases, holdings and settings alike. What reaches these messages has been checked where it came in since; nothing guarded the step itself, and the product's own protocol, stored cases and settings objects were not checked.

Change: a reply leaves out the items that have no encoding, and the box counts each (peers.item_unencodable) and logs it once. A message that is one such item is UnencodableMessage, one of the errors that callers of peers expect. What comes in: nested unknown fields and settings that are no JSON raised RecursionError and JSONDecodeError past the decoders; both are their typed errors now, and one settings object that cannot be decoded no longer keeps the others of its page out.

--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -25,7 +25,8 @@
 from .service import PeerStub
 from .tunnel import Tunnel, TunnelRequest, open_tunnel
 
-#: Exceptions raised for a refused or broken connection to a peer, or an unreadable answer.
+#: Exceptions raised for a refused or broken connection to a peer, an unreadable answer, or a
+#: message that cannot be encoded.
 PEER_ERRORS = (
     OSError,
     GRPCError,
@@ -33,6 +34,7 @@
     StreamTerminatedError,
     asyncio.TimeoutError,
     codec.UnreadablePart,
+    codec.UnencodableMessage,
 )
 #: The part of them that shows that a connection is of no use any more.
 CONNECTION_ERRORS = (OSError, ProtocolError, StreamTerminatedError)
@@ -101,12 +103,22 @@
         self._streams: _Connection | None = None
         #: When the peer last answered a call, on the loop's clock; None before the first answer.
         self.answered_at: float | None = None
+        self.unreadable_objects = 0
 
     async def pull_settings(self, revisions: dict[str, int]) -> list[Candidate]:
-        """Return the settings objects that are newer at the peer; raises one of PEER_ERRORS."""
+        """Return the settings objects that are newer at the peer; raises one of PEER_ERRORS.
+
+        Objects that cannot be decoded are left out and counted in `unreadable_objects`.
+        """
         request = codec.SettingsRequest(revisions)
         page = await self._call(lambda stub: stub.pull_settings(request), PULL_SECONDS)
-        return [codec.decode_candidate(item) for item in page.objects]
+        candidates = []
+        for part in page.objects:
+            try:
+                candidates.append(codec.decode_candidate(part))
+            except codec.UnreadablePart:
+                self.unreadable_objects += 1
+        return candidates
 
     async def pull_lists(self, holdings: bool = False) -> FleetLists:
         """Return the platform's lists as known to the peer; raises one of PEER_ERRORS.
--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -6,10 +6,11 @@
 
 import json
 import zlib
+from typing import TypeVar
 
 import msgspec
 from grpclib.encoding.base import CodecBase
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from seamhold_messages.errors import error_from
 from seamhold_messages.work import Holding
@@ -22,31 +23,75 @@
 UNPACKED_MAX_BYTES = 64 * 1024 * 1024
 
 
+#: What msgspec and json raise for a value that has no encoding.
+ENCODING_ERRORS = (ValueError, OverflowError, TypeError, RecursionError)
+
+Message = TypeVar('Message')
+
+
 class UnreadablePart(ValueError):
     """A message, or a compressed part of one, cannot be decoded."""
 
 
+class UnencodableMessage(ValueError):
+    """A message has a value that MessagePack cannot carry."""
+
+
 class MessageCodec(CodecBase):
     """grpclib codec that encodes messages as MessagePack."""
 
     __content_subtype__ = 'msgpack'
 
     def encode(self, message: object, message_type: type) -> bytes:
-        """Return the encoded `message`."""
-        return msgspec.msgpack.encode(message)
+        """Return the encoded `message`; raises UnencodableMessage."""
+        return _encode(message)
 
     def decode(self, data: bytes, message_type: type) -> object:
         """Return a `message_type`; raises UnreadablePart."""
         return _decode(data, message_type)
 
 
+def _encode(message: object) -> bytes:
+    try:
+        return msgspec.msgpack.encode(message)
+    except ENCODING_ERRORS as error:
+        raise UnencodableMessage(f'{type(error).__name__}: {error}') from error
+
+
 def _decode(data: bytes, kind: type):
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise UnreadablePart(str(error)) from error
 
 
+def split_encodable(message: Message) -> tuple[Message, list[object]]:
+    """Return a message without the items of its lists that have no encoding, and these items.
+
+    `message` is a struct, or a tuple of items.
+    """
+    left_out: list[object] = []
+    if isinstance(message, tuple):
+        return _encodable_items(message, left_out), left_out
+    lists = {
+        name: _encodable_items(value, left_out)
+        for name, value in structs.asdict(message).items()
+        if isinstance(value, list | tuple)
+    }
+    return structs.replace(message, **lists), left_out
+
+
+def _encodable_items(items: list | tuple, left_out: list[object]) -> list | tuple:
+    kept = []
+    for item in items:
+        try:
+            _encode(item)
+            kept.append(item)
+        except UnencodableMessage:
+            left_out.append(item)
+    return type(items)(kept)
+
+
 class SettingsRequest(Struct, frozen=True):
     """Request for newer settings, with the revision of each object active at the sender."""
 
@@ -170,26 +215,37 @@
 
 
 def encode_candidate(candidate: Candidate) -> SettingsObjectPart:
-    """Encode a settings object for the wire."""
-    return SettingsObjectPart(
+    """Encode a settings object for the wire; raises UnencodableMessage."""
+    try:
+        spec = json.dumps(candidate.spec).encode()
+    except ENCODING_ERRORS as error:
+        raise UnencodableMessage(f'{type(error).__name__}: {error}') from error
+    part = SettingsObjectPart(
         candidate.name,
         candidate.revision,
         candidate.edit_id,
-        zlib.compress(json.dumps(candidate.spec).encode()),
+        zlib.compress(spec),
         candidate.deleted,
         candidate.ancestors,
     )
+    _encode(part)
+    return part
 
 
 def decode_candidate(part: SettingsObjectPart) -> Candidate:
     """Decode a settings object from a peer; raises UnreadablePart."""
-    spec = json.loads(_unpack(part.spec_packed))
+    try:
+        spec = json.loads(_unpack(part.spec_packed))
+    except (ValueError, RecursionError) as error:
+        raise UnreadablePart(f'{part.name}: {error}') from error
+    if not isinstance(spec, dict):
+        raise UnreadablePart(f'{part.name}: not a settings object')
     return Candidate(part.name, part.revision, part.edit_id, spec, part.deleted, part.ancestors)
 
 
 def encode_lists(lists: FleetLists) -> PackedLists:
-    """Encode the platform's lists for the wire."""
-    return PackedLists(zlib.compress(msgspec.msgpack.encode(lists)))
+    """Encode the platform's lists for the wire; raises UnencodableMessage."""
+    return PackedLists(zlib.compress(_encode(lists)))
 
 
 def decode_lists(packed: PackedLists) -> FleetLists:
@@ -198,8 +254,8 @@
 
 
 def encode_holdings(holdings: tuple[Holding, ...]) -> PackedHoldings:
-    """Encode holdings for the wire."""
-    return PackedHoldings(zlib.compress(msgspec.msgpack.encode(holdings)))
+    """Encode holdings for the wire; raises UnencodableMessage."""
+    return PackedHoldings(zlib.compress(_encode(holdings)))
 
 
 def decode_holdings(packed: PackedHoldings) -> tuple[Holding, ...]:
--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -224,7 +224,7 @@
             part = _DECODER.decode(data)
             box, incarnation = self._sender(part)
             return self._decode(part, box, incarnation) if box else None
-        except (msgspec.MsgspecError, struct.error):
+        except (msgspec.MsgspecError, struct.error, RecursionError):
             return None
 
     def _sender(self, part: DigestPartWithRetries) -> tuple[str, str]:
--- a/packages/peers/seamhold_peers/server.py
+++ b/packages/peers/seamhold_peers/server.py
@@ -1,8 +1,8 @@
 """gRPC server for calls from peers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
@@ -20,6 +20,10 @@
 from .tunnel import Connection, TunnelMessage, TunnelRequest, serve_tunnel
 
 
+Message = TypeVar('Message')
+Packed = TypeVar('Packed')
+
+
 class PeerHandler(Protocol):
     """Interface that a box implements to handle the calls of its peers."""
 
@@ -61,15 +65,45 @@
 
 
 class PeerService:
-    """gRPC service that delegates each call to a PeerHandler."""
+    """gRPC service that delegates each call to a PeerHandler.
 
-    def __init__(self, handler: PeerHandler):
+    An item of a list that cannot be encoded is left out of the reply, which then holds the other
+    items; `report_left_out` is called with all items left out.
+    """
+
+    def __init__(self, handler: PeerHandler, report_left_out: Callable[[list[object]], None]):
         self._handler = handler
+        self._report_left_out = report_left_out
         #: Cache of the last encoded messages: after a change many peers pull the same ones.
         self._objects: dict[str, tuple[Candidate, codec.SettingsObjectPart]] = {}
         self._lists: tuple[FleetLists, codec.PackedLists] | None = None
 
-    def _encoded(self, candidate: Candidate) -> codec.SettingsObjectPart:
+    def _encoded(self, encode: Callable[[Message], Packed], message: Message) -> Packed:
+        """Encode a message, without the items of its lists that have no encoding."""
+        try:
+            return encode(message)
+        except codec.UnencodableMessage:
+            return encode(self._without_unencodable(message))
+
+    def _without_unencodable(self, message: Message) -> Message:
+        encodable, left_out = codec.split_encodable(message)
+        if left_out:
+            self._report_left_out(left_out)
+        return encodable
+
+    def _encoded_objects(self, candidates: list[Candidate]) -> list[codec.SettingsObjectPart]:
+        parts = []
+        left_out: list[object] = []
+        for candidate in candidates:
+            try:
+                parts.append(self._encoded_object(candidate))
+            except codec.UnencodableMessage:
+                left_out.append(candidate)
+        if left_out:
+            self._report_left_out(left_out)
+        return parts
+
+    def _encoded_object(self, candidate: Candidate) -> codec.SettingsObjectPart:
         cached = self._objects.get(candidate.name)
         if cached is None or cached[0] is not candidate:
             cached = self._objects[candidate.name] = (candidate, codec.encode_candidate(candidate))
@@ -77,9 +111,9 @@
 
     def _encoded_lists(self, lists: FleetLists) -> codec.PackedLists:
         if lists.held:
-            return codec.encode_lists(lists)
+            return self._encoded(codec.encode_lists, lists)
         if self._lists is None or self._lists[0] != lists:
-            self._lists = (lists, codec.encode_lists(lists))
+            self._lists = (lists, self._encoded(codec.encode_lists, lists))
         return self._lists[1]
 
     def __mapping__(self) -> dict[str, Handler]:
@@ -112,8 +146,7 @@
         """Send the settings objects that are newer here."""
         request = await stream.recv_message()
         newer = await self._handler.newer_settings(request.revisions)
-        page = codec.SettingsPage([self._encoded(item) for item in newer])
-        await stream.send_message(page)
+        await stream.send_message(codec.SettingsPage(self._encoded_objects(newer)))
 
     async def pull_lists(self, stream) -> None:
         """Send the lists to a box that cannot read them itself."""
@@ -124,7 +157,8 @@
     async def pull_learned(self, stream) -> None:
         """Send the holdings reported by engines to a box that is also starting."""
         await stream.recv_message()
-        await stream.send_message(codec.encode_holdings(await self._handler.learned()))
+        holdings = await self._handler.learned()
+        await stream.send_message(self._encoded(codec.encode_holdings, holdings))
 
     async def dispatch(self, stream) -> None:
         """Run a relayed call and stream its answer."""
@@ -151,7 +185,9 @@
     async def pull_cases(self, stream) -> None:
         """Send this box's cases of requests that end engines."""
         await stream.recv_message()
-        await stream.send_message(await self._handler.cases())
+        page = await self._handler.cases()
+        cases = self._without_unencodable(page.cases)
+        await stream.send_message(codec.CasesPage(cases, page.complete))
 
     async def receive_cases(self, stream) -> None:
         """Apply cases sent by a peer."""
@@ -181,8 +217,13 @@
 class PeerServer:
     """Serves peers on one address."""
 
-    def __init__(self, handler: PeerHandler):
-        self._server = Server([PeerService(handler)], codec=codec.MessageCodec())
+    def __init__(
+        self,
+        handler: PeerHandler,
+        report_left_out: Callable[[list[object]], None] = lambda items: None,
+    ):
+        service = PeerService(handler, report_left_out)
+        self._server = Server([service], codec=codec.MessageCodec())
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
--- a/packages/router/seamhold/peer_pulls.py
+++ b/packages/router/seamhold/peer_pulls.py
@@ -202,7 +202,12 @@
 
     async def _pull_settings(self, client: PeerClient, source: str) -> None:
         revisions = await result_of(self._settings_task.query(GetRevisions()))
+        unreadable = client.unreadable_objects
         newer = await client.pull_settings(revisions)
+        if client.unreadable_objects > unreadable:
+            count = client.unreadable_objects - unreadable
+            self._metrics.count('settings.unreadable_from_peer', count)
+            self._log.warning('settings.unreadable_from_peer', peer=source, objects=count)
         self._metrics.count('settings.pulls')
         if newer:
             await result_of(self._settings_task.query(OfferSettings(newer, source)))
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -52,6 +52,9 @@
 DIGEST_MIN_BYTES = 60
 #: Initial estimate of a digest's size.
 FIRST_DIGEST_BYTES = 110
+#: An item that cannot be sent to peers is logged up to this length, and so many of them are.
+LOGGED_CHARS_MAX = 200
+LOGGED_ITEMS_MAX = 50
 #: Number of sent digests that the running mean of their size covers.
 AVERAGED_DIGESTS = 8
 
@@ -110,6 +113,8 @@
         self._periodic_tasks: list[asyncio.Task] = []
         self._started = threading.Event()
         self._failure: BaseException | None = None
+        #: The items that were logged because they cannot be sent to peers.
+        self._unencodable: set[str] = set()
 
     # The thread that runs the loop.
 
@@ -158,7 +163,7 @@
     async def _listen(self) -> None:
         address = split_address(self._config.peer_listen)
         # A server is bound to the loop that is running when it is created.
-        self._server = PeerServer(self._handler)
+        self._server = PeerServer(self._handler, self._record_unencodable)
         await self._server.start(address.host, address.port)
         self._digest_port = DigestPort(self.names, self._receive_digest)
         await self._digest_port.listen(address.host, address.port)
@@ -171,6 +176,15 @@
             ),
         ]
 
+    def _record_unencodable(self, items: list[object]) -> None:
+        """Count items that peers do not get, and log each one once."""
+        for item in items:
+            self._metrics.count('peers.item_unencodable')
+            text = ascii(item)[:LOGGED_CHARS_MAX]
+            if text not in self._unencodable and len(self._unencodable) < LOGGED_ITEMS_MAX:
+                self._unencodable.add(text)
+                self._log.warning('peers.item_unencodable', item=text)
+
     async def _run_periodically(self, step, pause) -> None:
         while True:
             try:
