Take the settings from their own object alone

What callers would see: an object that another writer puts beside the configuration, under any name of the same kind and with readable content, is in force at all boxes as soon as its revision is the newest, and the next version of the configuration counts as a change back.

Cause: the follower of the settings offered every object of the kind.

Change: the dialect names the object that holds the tree; others are counted (settings.foreign) and logged once. A version that is no number is unreadable instead of an exception in the follower's loop. Stored objects of the product's own protocol are checked by type and by range: a revision above 2**53 or an edit without a text as id could not be sent to peers.

--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -168,6 +168,7 @@
             rng,
             watch,
             self.settings_task,
+            self.dialect.tree_name,
             self.dialect.tree,
             self.config.fleet_defaults(),
         )
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -19,7 +19,7 @@
 from ..decider import Decider
 from ..decisions import StoreAnswered
 from ..follower import Follower
-from ..list_follower import ListFollower
+from ..list_follower import UNREADABLE_LOGGED_MAX, ListFollower
 from ..metrics import Metrics
 from ..ports import ObjectStore
 from ..settings_task import OFFER_SECONDS, OfferSettings, SettingsTask
@@ -97,7 +97,7 @@
 
 
 class TreeFollower(Follower):
-    """Follows the object that holds the whole settings tree.
+    """Follows the object called `name`, which holds the whole settings tree.
 
     `read` converts an object to values of the settings schema.  `defaults` are the
     fleet-level values that the platform's configuration does not contain.
@@ -116,12 +116,16 @@
         rng: random.Random,
         watch: StoreWatch,
         settings_task: SettingsTask,
+        name: str,
         read: Callable[[PlatformObject], dict],
         defaults: dict,
     ):
         super().__init__(store, metrics, rng)
         self._watch = watch
         self._settings_task = settings_task
+        self._name = name
+        #: Names of other objects that were logged.
+        self._foreign: set[str] = set()
         self._read = read
         self._defaults = defaults
 
@@ -153,25 +157,37 @@
         """Offer the listed tree to the settings task."""
         self._watch.on_regained()
         for item in objects:
-            self._offer(item)
+            self._offer_tree(item)
 
     def on_change(self, kind: WatchKind, item: PlatformObject) -> None:
         """Offer the changed tree; a deleted one stays active."""
         if kind is not WatchKind.DELETED:
+            self._offer_tree(item)
+
+    def _offer_tree(self, item: PlatformObject) -> None:
+        """Offer the tree, and no other object of the collection."""
+        if item.name == self._name:
             self._offer(item)
+            return
+        self.metrics.count('settings.foreign')
+        if item.name not in self._foreign and len(self._foreign) < UNREADABLE_LOGGED_MAX:
+            self._foreign.add(item.name)
+            self.log.warning('settings.foreign', object=item.name)
 
     def _offer(self, item: PlatformObject) -> None:
         try:
             values = self._read(item)
+            revision = int(item.version)
         except (TypeError, ValueError, KeyError, AttributeError) as error:
             self.metrics.count('settings.unreadable')
-            self.log.warning('settings.unreadable', version=item.version, detail=repr(error))
+            detail = item.unreadable or repr(error)
+            self.log.warning('settings.unreadable', version=item.version, detail=detail)
             return
         values['fleet'] = self._defaults | values.get('fleet', {})
         values, problems = without_invalid_routes(values)
         for problem in problems:
             self.log.warning('settings.route_left_out', version=item.version, detail=problem)
-        candidate = Candidate(TREE_OBJECT, int(item.version), item.version, values)
+        candidate = Candidate(TREE_OBJECT, revision, item.version, values)
         (result,) = self._settings_task.query(OfferSettings([candidate], 'platform')).result(
             OFFER_SECONDS
         )
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -352,6 +352,8 @@
     callers: CallerDialect
     backends: BackendDialect
     ready_path: str
+    #: Name of the object that holds the complete settings tree.
+    tree_name: str
 
     def store(self, url: str) -> RemovableStore:
         """Return a client of the platform's store."""
--- a/packages/settings/seamhold_settings/envelope.py
+++ b/packages/settings/seamhold_settings/envelope.py
@@ -1,6 +1,9 @@
 """Storage format of a settings object in the platform: its value and edit history."""
 
-from msgspec import Struct
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
 
 from seamhold_messages.errors import SettingsInvalid
 
@@ -10,6 +13,8 @@
 #: restores, and for operators to review.
 EDITS_MAX = 50
 UNKNOWN_AUTHOR = 'unknown'
+#: Sums of revisions are compared between boxes, and must stay within 64 bits.
+REVISION_MAX = 2**53
 
 
 class Edit(Struct, frozen=True):
@@ -20,6 +25,15 @@
     author: str
 
 
+class StoredEnvelope(Struct, frozen=True):
+    """The format in which the platform keeps a settings object."""
+
+    revision: Annotated[int, Meta(ge=0, le=REVISION_MAX)]
+    edits: Annotated[tuple[Edit, ...], Meta(min_length=1)]
+    value: dict[str, Any] | None = None
+    deleted: bool | None = None
+
+
 class Envelope(Struct, frozen=True):
     """One version of a settings object with the edits that led to it."""
 
@@ -33,14 +47,10 @@
     def from_spec(cls, name: str, spec: dict) -> 'Envelope':
         """Parse an object as stored in the platform; raises SettingsInvalid."""
         try:
-            edits = tuple(Edit(row['id'], row['at'], row['author']) for row in spec['edits'])
-            revision = int(spec['revision'])
-            value = dict(spec.get('value') or {})
-        except (KeyError, TypeError, ValueError) as error:
-            raise SettingsInvalid(f'{name}: not a settings object: {error!r}') from error
-        if not edits:
-            raise SettingsInvalid(f'{name}: the object has no edits')
-        return cls(name, revision, edits, value, bool(spec.get('deleted')))
+            stored = msgspec.convert(spec, StoredEnvelope)
+        except (msgspec.ValidationError, OverflowError, RecursionError) as error:
+            raise SettingsInvalid(f'{name}: not a settings object: {error}') from error
+        return cls(name, stored.revision, stored.edits, stored.value or {}, bool(stored.deleted))
 
     @classmethod
     def from_candidate(cls, candidate: Candidate) -> 'Envelope':
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -20,7 +20,7 @@
 from seamhold_platform import ObjectKind, PlatformClient, PlatformObject, client
 from seamhold_routing.plans import plan_for
 from seamhold_settings import ActiveSettings, Candidate, OfferResult, load_tree, resolve
-from seamhold_settings.envelope import Edit
+from seamhold_settings.envelope import REVISION_MAX, Edit, Envelope, first_version
 from standins.platform import Platform
 
 TREE = """
@@ -281,3 +281,21 @@
         status, _, error = self.run_command('get')
         self.assertEqual(ExitStatus.INVALID, status)
         self.assertIn('workspace.x', error)
+
+
+class TestStoredObjects(testtools.TestCase):
+    """Settings objects of other writers in the platform."""
+
+    def test_an_object_that_cannot_be_sent_to_peers_is_invalid(self):
+        valid = first_version('fleet', Edit('e', 1.0, 'me'), {'a': 1}).to_spec()
+        for changes in (
+            {'revision': REVISION_MAX + 1},
+            {'revision': '1'},
+            {'edits': [{'id': 7, 'at': 1.0, 'author': 'me'}]},
+            {'edits': []},
+            {'edits': None},
+            {'value': 'text'},
+        ):
+            self.assertRaises(SettingsInvalid, Envelope.from_spec, 'fleet', valid | changes)
+        largest = Envelope.from_spec('fleet', valid | {'revision': REVISION_MAX})
+        self.assertEqual((REVISION_MAX, {'a': 1}), (largest.revision, largest.value))
