Check names where they come in, by what headers, paths and peers can carry

Cause: text that is valid JSON was taken as it came. The name of a server is sent as the expected instance, object names are parts of paths, service and zone go into labels, log lines and messages to peers.

Ruled out: escaping at each use (a server compares the instance that a request names with its own id); a narrow alphabet for all names (operators choose services and zones).

Change: seamhold_messages.names has two checks: identifiers are visible ASCII, labels are printable, both of 253 characters at most. What replaces undecodable text, U+FFFD, is no part of a valid name.

--- /dev/null
+++ b/packages/messages/seamhold_messages/names.py
@@ -0,0 +1,23 @@
+"""Checks of names that come from outside.
+
+Names go into header fields, paths, log lines, labels of metrics and messages to other boxes.
+One that any of these cannot carry is refused where it comes in.
+"""
+
+import re
+
+NAME_MAX_CHARS = 253
+#: What stands for text that could not be decoded.
+REPLACEMENT = '\ufffd'
+
+_IDENTIFIER = re.compile(f'[!-~]{{1,{NAME_MAX_CHARS}}}')
+
+
+def is_identifier(text: str) -> bool:
+    """Whether a text can be a header field's value and, quoted, part of a path."""
+    return _IDENTIFIER.fullmatch(text) is not None
+
+
+def is_label(text: str) -> bool:
+    """Whether a text can be logged, be a metric's label and be sent to other boxes."""
+    return 0 < len(text) <= NAME_MAX_CHARS and text.isprintable() and REPLACEMENT not in text
--- a/packages/router/seamhold/case_store.py
+++ b/packages/router/seamhold/case_store.py
@@ -7,16 +7,19 @@
 watches the cases of the others.  One box removes expired cases.
 """
 
+import math
 import queue
 import threading
 from collections.abc import Callable
 from functools import partial
+from typing import Annotated
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from seamhold_limits import TokenBucket
 from seamhold_messages.errors import PlatformConflict, PlatformNotFound, SeamholdError
+from seamhold_messages.names import NAME_MAX_CHARS, is_identifier
 from seamhold_placement.rank import owners
 from seamhold_platform import ObjectKind, PlatformObject
 from seamhold_quarantine import SUSPECT_ENDS, Case, EngineEnd, is_expired
@@ -29,6 +32,11 @@
 from .ports import RemovableStore
 from .tasks import Stop
 
+#: Limits of a valid stored case, far above what boxes write.
+ENDS_MAX = 10_000
+CLEARS_MAX = 2**31
+#: Hexadecimal digits of a 64-bit hash.
+HASH_DIGITS = 16
 #: Delay before a failed call is retried, in seconds.
 RETRY_SECONDS = 2.0
 #: The same for the first read, which a starting box waits for, in seconds.
@@ -64,9 +72,9 @@
     """A case as it is stored; the name of its object is the request's digest."""
 
     scope: str
-    workspace: str
-    ends: tuple[StoredEnd, ...]
-    clears: int = 0
+    workspace: Annotated[str, Meta(max_length=NAME_MAX_CHARS)]
+    ends: Annotated[tuple[StoredEnd, ...], Meta(max_length=ENDS_MAX)]
+    clears: Annotated[int, Meta(ge=0, le=CLEARS_MAX)] = 0
     cleared_unix_time: float | None = None
 
 
@@ -82,14 +90,30 @@
 
 def from_object(item: PlatformObject, unix_time: float) -> Case:
     """Return the case in an object; raises ValueError or ValidationError if it is invalid."""
+    if not is_identifier(item.name):
+        raise ValueError(f'{item.name!a} is not the digest of a request')
     stored = msgspec.convert(item.spec, StoredCase)
     ends = tuple(
-        EngineEnd(int(end.engine, 16), end.on_trial, max(0.0, unix_time - end.unix_time))
+        EngineEnd(_hash_from(end.engine), end.on_trial, _age(end.unix_time, unix_time))
         for end in stored.ends
     )
     cleared = stored.cleared_unix_time
-    age = None if cleared is None else max(0.0, unix_time - cleared)
-    return Case(item.name, int(stored.scope, 16), stored.workspace, ends, stored.clears, age)
+    age = None if cleared is None else _age(cleared, unix_time)
+    return Case(item.name, _hash_from(stored.scope), stored.workspace, ends, stored.clears, age)
+
+
+def _hash_from(digits: str) -> int:
+    """Return a 64-bit hash that was written as hexadecimal text; raises ValueError."""
+    if len(digits) > HASH_DIGITS or not digits.isascii() or not digits.isalnum():
+        raise ValueError(f'{digits[:HASH_DIGITS]!a} is not a 64-bit hash')
+    return int(digits, 16)
+
+
+def _age(at: float, unix_time: float) -> float:
+    """Return the seconds since a Unix time, which may be in the future; raises ValueError."""
+    if not math.isfinite(at):
+        raise ValueError(f'{at} is not a time')
+    return max(0.0, unix_time - at)
 
 
 class _SyncRequest(Struct, frozen=True):
--- a/packages/router/seamhold/list_follower.py
+++ b/packages/router/seamhold/list_follower.py
@@ -1,10 +1,12 @@
 """Follows one of the platform's lists, whose entries are in the product's own protocol."""
 
+import math
 import random
 from collections.abc import Callable
 
-from seamhold_messages.errors import EntryUnreadable
+from seamhold_messages.errors import EntryUnreadable, EntryUnsound
 from seamhold_messages.fleet import Box, Engine, Phase
+from seamhold_messages.names import is_identifier, is_label
 from seamhold_platform import ObjectKind, PlatformObject, WatchKind
 
 from .follower import Follower
@@ -13,14 +15,16 @@
 
 #: Concurrent calls of an engine whose entry does not state its slots.
 DEFAULT_SLOTS = 64
+#: Higher than any engine's slots, so that an invalid entry has a limited effect on sums.
+SLOTS_MAX = 100_000
 #: Unreadable entries that are logged by name; further ones are only counted.
 UNREADABLE_LOGGED_MAX = 50
 
 
 def engine_from(item: PlatformObject) -> Engine:
-    """Build an Engine from its entry in the platform's list."""
+    """Build an Engine from its entry in the platform's list; raises EntryUnreadable."""
     spec = item.spec
-    return Engine(
+    engine = Engine(
         item.name,
         str(spec.get('service', '')),
         str(spec.get('address', '')),
@@ -30,18 +34,38 @@
         float(spec.get('weight', 1.0)),
         Phase(spec.get('phase', Phase.LIVE)),
     )
+    _check_names(engine.name, engine.incarnation)
+    _check_labels(engine.service, engine.address, engine.failure_domain)
+    if not 0 <= engine.slots <= SLOTS_MAX or not 0 <= engine.weight < math.inf:
+        raise EntryUnsound(f'invalid slots {engine.slots} or weight {engine.weight}')
+    return engine
 
 
 def box_from(item: PlatformObject) -> Box:
-    """Build a Box from its entry in the platform's list."""
+    """Build a Box from its entry in the platform's list; raises EntryUnreadable."""
     spec = item.spec
-    return Box(
+    box = Box(
         item.name,
         str(spec.get('peer_address', '')),
         str(spec.get('failure_domain', '')),
         '',
         Phase(spec.get('phase', Phase.LIVE)),
     )
+    _check_names(box.name)
+    _check_labels(box.peer_address, box.failure_domain)
+    return box
+
+
+def _check_names(name: str, incarnation: str = '') -> None:
+    if not is_identifier(name) or incarnation and not is_identifier(incarnation):
+        raise EntryUnsound(f'{name!a} or {incarnation!a} cannot be a header field')
+
+
+def _check_labels(*texts: str) -> None:
+    """Check the optional fields of an entry, which are empty if they are missing."""
+    for text in texts:
+        if text and not is_label(text):
+            raise EntryUnsound(f'{text!a} is not a printable name')
 
 
 class ListFollower(Follower):
--- a/tests/test_case_store.py
+++ b/tests/test_case_store.py
@@ -1,13 +1,16 @@
 """Stored cases of requests that end engines: what is written and when it is removed."""
 
+import math
+
+import msgspec
 import testtools
 
-from seamhold.case_store import CaseStore, to_object
+from seamhold.case_store import ENDS_MAX, CaseStore, from_object, to_object
 from seamhold.decider import Decider
 from seamhold.decisions import DeciderReport
 from seamhold.metrics import Metrics
 from seamhold_messages.errors import PlatformConflict
-from seamhold_platform import ObjectKind, PlatformClient
+from seamhold_platform import ObjectKind, PlatformClient, PlatformObject
 from seamhold_quarantine import Case, EngineEnd
 from seamhold_quarantine.case import FIRST_REST_SECONDS, MEMORY_SECONDS
 from seamhold_routing import Router
@@ -24,6 +27,30 @@
     return Case(request, 7, 'kitchen', ends)
 
 
+class TestInvalidCases(testtools.TestCase):
+    """Cases of other writers: one that boxes could not send to each other is no case."""
+
+    def test_a_case_that_cannot_be_sent_to_peers_is_invalid(self):
+        valid = to_object(proven('odd'), 0.0).spec
+        end = valid['ends'][0]
+        for changes in (
+            {'scope': 'f' * 17},
+            {'scope': '-1'},
+            {'scope': '\u0661'},
+            {'workspace': 'x' * 254},
+            {'clears': 2**80},
+            {'clears': -1},
+            {'cleared_unix_time': math.inf},
+            {'ends': [end | {'engine': 'f' * 17}]},
+            {'ends': [end | {'unix_time': math.nan}]},
+            {'ends': [end] * (ENDS_MAX + 1)},
+        ):
+            item = PlatformObject('odd', valid | changes)
+            self.assertRaises((ValueError, msgspec.ValidationError), from_object, item, 0.0)
+        self.assertRaises(ValueError, from_object, PlatformObject('a\ud83d', valid), 0.0)
+        self.assertEqual(proven('odd').ends, from_object(PlatformObject('odd', valid), 0.0).ends)
+
+
 class TestCleaning(testtools.TestCase):
     """Without removal, objects of old cases accumulate, and each start of a box reads them."""
 
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -14,9 +14,10 @@
     PolledListFollower,
     StoreWatch,
 )
-from seamhold.list_follower import box_from
+from seamhold.list_follower import box_from, engine_from
 from seamhold.listed import ListInUse
 from seamhold.metrics import Metrics
+from seamhold_messages.errors import EntryUnsound
 from seamhold_messages.fleet import Box, Engine, Evacuation, is_update_for_engine
 from seamhold_platform import ObjectKind, PlatformObject
 from seamhold_platform.objects import Page
@@ -94,6 +95,25 @@
         self.assertEqual([*fresh, True, True], self.stale_reads(['me', 'other'], len(fresh) + 2))
 
 
+class TestEntriesOfTheProductsProtocol(testtools.TestCase):
+    def test_an_entry_that_peers_or_headers_could_not_carry_is_invalid(self):
+        valid = {'service': 'app', 'address': 'a:1', 'slots': 4}
+        for changes in (
+            {'service': '\ud83d'},
+            {'address': 'a\n'},
+            {'failure_domain': 'x' * 254},
+            {'incarnation': 'caf\u00e9'},
+            {'slots': 10**30},
+            {'slots': -1},
+            {'weight': 'inf'},
+            {'weight': 'nan'},
+        ):
+            self.assertRaises(EntryUnsound, engine_from, PlatformObject('e', valid | changes))
+        self.assertRaises(EntryUnsound, engine_from, PlatformObject('\u2603', valid))
+        self.assertRaises(EntryUnsound, box_from, PlatformObject('b', {'peer_address': '\ud83d'}))
+        self.assertEqual(4, engine_from(PlatformObject('e', valid)).slots)
+
+
 class TestEvacuationsList(testtools.TestCase):
     def test_first_read_is_stale_and_the_one_before_a_watch_is_fresh(self):
         store = CountingStore(['hall-a'], 2)
