A box whose pulls fail reads the store itself after half of the bound

Cause: only four boxes watch the store; the others pull from peers what these announce. A box whose pulls failed each time had nothing that proved it up to date, and nothing made it ask elsewhere. The reason of the failures (an item without an encoding) was one of many that are possible.

Ruled out: readiness (a box that is not ready gets no callers, and a fault of the watchers would take out half of the fleet); counting failed pulls (a pull that hangs, or that is never begun, does not count).

Change: a box records when peers first announced each version that it lacks. Where the oldest of them is a second old, for settings, servers, boxes or evacuations, it reads the store as a box does that has lost it, and stops when it has caught up. Operators see update_lag_seconds, updates.lagging with what is announced and what the box has, and updates.caught_up. The followers of the settings in the product's own protocol do the same.

--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -10,6 +10,7 @@
 from .relay import GossipBuffer
 from .self_reports import REST_MAX_SECONDS, SelfReports
 from .unused import ServiceUse, UnusedReason
+from .update_lag import UpdateLag
 
 __all__ = [
     'REST_MAX_SECONDS',
@@ -29,5 +30,6 @@
     'ServiceUse',
     'Serving',
     'UnusedReason',
+    'UpdateLag',
     'outliers',
 ]
--- a/packages/peers/seamhold_peers/server.py
+++ b/packages/peers/seamhold_peers/server.py
@@ -19,7 +19,6 @@
 from .service import Path
 from .tunnel import Connection, TunnelMessage, TunnelRequest, serve_tunnel
 
-
 Message = TypeVar('Message')
 Packed = TypeVar('Packed')
 
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -15,6 +15,7 @@
 from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import BoxRetries, Decision, Queued, Refused, RetryCount
 from seamhold_peers import FleetLists
+from seamhold_platform import ObjectKind
 from seamhold_routing import Router, Versions
 
 from .case_handlers import CaseHandlers
@@ -83,7 +84,8 @@
         self.watches_store = True
         self.watch_turn = router.watch_turn
         self._store_lost = False
-        #: Set while this box watches the store or has lost it and must reconnect.
+        self._lagging: frozenset[ObjectKind] = frozenset()
+        #: Set while this box watches the store, has lost it and must reconnect, or lags behind.
         self.store_wanted = threading.Event()
         self.store_wanted.set()
         #: Called when there is an update that peers should receive immediately.
@@ -157,12 +159,22 @@
         self._store_lost = lost
         self._update_store_wanted()
 
+    @property
+    def lagging(self) -> frozenset[ObjectKind]:
+        """What this box must read from the store itself, because it does not get it from peers."""
+        return self._lagging
+
+    @lagging.setter
+    def lagging(self, kinds: frozenset[ObjectKind]) -> None:
+        self._lagging = kinds
+        self._update_store_wanted()
+
     def takes_work(self, engine: str, incarnation: str) -> bool:
         """Whether an engine may get work, as known now; safe to call on any thread."""
         return self._router.engines.takes_work(engine, incarnation, self._clock())
 
     def _update_store_wanted(self) -> None:
-        if self.watches_store or self._store_lost:
+        if self.watches_store or self._store_lost or self._lagging:
             self.store_wanted.set()
         else:
             self.store_wanted.clear()
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -62,9 +62,10 @@
         self._role_known_at = boot_seconds() + ROLE_WAIT_SECONDS
 
     def should_follow(self) -> bool:
-        """Whether this box is a watcher, lacks a part of its state, or has lost the store."""
+        """Whether this box is a watcher, lacks updates or state, or has lost the store."""
         decider = self._decider
-        return decider.watches_store or decider.store_lost or not self._ready()
+        watches = decider.watches_store or decider.store_lost or bool(decider.lagging)
+        return watches or not self._ready()
 
     def wait_for_turn(self) -> None:
         """Wait until this box should watch, at most STOP_CHECK_SECONDS."""
--- a/packages/router/seamhold/list_follower.py
+++ b/packages/router/seamhold/list_follower.py
@@ -34,7 +34,9 @@
         float(spec.get('weight', 1.0)),
         Phase(spec.get('phase', Phase.LIVE)),
     )
-    _check_names(engine.name, engine.incarnation)
+    _check_identifier(engine.name)
+    if engine.incarnation:
+        _check_identifier(engine.incarnation)
     _check_labels(engine.service, engine.address, engine.failure_domain)
     if not 0 <= engine.slots <= SLOTS_MAX or not 0 <= engine.weight < math.inf:
         raise EntryUnsound(f'invalid slots {engine.slots} or weight {engine.weight}')
@@ -51,14 +53,14 @@
         '',
         Phase(spec.get('phase', Phase.LIVE)),
     )
-    _check_names(box.name)
+    _check_identifier(box.name)
     _check_labels(box.peer_address, box.failure_domain)
     return box
 
 
-def _check_names(name: str, incarnation: str = '') -> None:
-    if not is_identifier(name) or incarnation and not is_identifier(incarnation):
-        raise EntryUnsound(f'{name!a} or {incarnation!a} cannot be a header field')
+def _check_identifier(text: str) -> None:
+    if not is_identifier(text):
+        raise EntryUnsound(f'{text!a} cannot be a header field')
 
 
 def _check_labels(*texts: str) -> None:
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -38,11 +38,13 @@
 )
 from .digest_order import DigestOrder
 from .holdings_pull import HoldingsPull
+from .lag_watch import LagWatch
 from .logs import logger
 from .metrics import Metrics
 from .peer_pulls import PeerPulls
 from .retries_pull import RetriesPull
 from .settings_task import SettingsTask
+from .unencodable import UnencodableItems
 
 ROSTER_SECONDS = 0.5
 #: Delay before an urgent update is sent; updates that come within it share a round.
@@ -52,9 +54,6 @@
 DIGEST_MIN_BYTES = 60
 #: Initial estimate of a digest's size.
 FIRST_DIGEST_BYTES = 110
-#: An item that cannot be sent to peers is logged up to this length, and so many of them are.
-LOGGED_CHARS_MAX = 200
-LOGGED_ITEMS_MAX = 50
 #: Number of sent digests that the running mean of their size covers.
 AVERAGED_DIGESTS = 8
 
@@ -94,6 +93,7 @@
         decider.retry_counts = budgets.counts
         self._pulls = PeerPulls(decider, settings_task, metrics, rng, lambda: self.ready)
         self.holdings = HoldingsPull(decider, metrics, rng, environment.monotonic)
+        self._lag = LagWatch(decider, settings_task, metrics, environment.monotonic)
         self._digest_order = DigestOrder(rng)
         self._mean_digest_bytes = FIRST_DIGEST_BYTES
         self.loop = asyncio.new_event_loop()
@@ -113,8 +113,6 @@
         self._periodic_tasks: list[asyncio.Task] = []
         self._started = threading.Event()
         self._failure: BaseException | None = None
-        #: The items that were logged because they cannot be sent to peers.
-        self._unencodable: set[str] = set()
 
     # The thread that runs the loop.
 
@@ -163,7 +161,7 @@
     async def _listen(self) -> None:
         address = split_address(self._config.peer_listen)
         # A server is bound to the loop that is running when it is created.
-        self._server = PeerServer(self._handler, self._record_unencodable)
+        self._server = PeerServer(self._handler, UnencodableItems(self._metrics).record)
         await self._server.start(address.host, address.port)
         self._digest_port = DigestPort(self.names, self._receive_digest)
         await self._digest_port.listen(address.host, address.port)
@@ -176,15 +174,6 @@
             ),
         ]
 
-    def _record_unencodable(self, items: list[object]) -> None:
-        """Count items that peers do not get, and log each one once."""
-        for item in items:
-            self._metrics.count('peers.item_unencodable')
-            text = ascii(item)[:LOGGED_CHARS_MAX]
-            if text not in self._unencodable and len(self._unencodable) < LOGGED_ITEMS_MAX:
-                self._unencodable.add(text)
-                self._log.warning('peers.item_unencodable', item=text)
-
     async def _run_periodically(self, step, pause) -> None:
         while True:
             try:
@@ -286,6 +275,7 @@
     async def _update_roster(self) -> None:
         """Read the roster, and connect to new neighbours."""
         await self.catch_up.run()
+        self._lag.check()
         report = await result_of(self._decider.query(GetReport()))
         self.roster = report
         if report.missing_boxes:
@@ -392,6 +382,7 @@
         client = self._clients.get(digest.box)
         if client is None:
             return
+        self._lag.record(digest)
         if self._pulls.has_other_settings(digest):
             self._background.start(self._pulls.pull_newer_settings(digest.box, client))
         if self._pulls.has_newer_lists(digest):
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -136,6 +136,7 @@
             self.settings_task,
             self.config.box,
             lambda: self.peering.roster.live_boxes,
+            lambda: ObjectKind.SETTINGS in self.decider.lagging,
         )
         cases = CasesFollower(
             self.config.box, self.platform, self.cases, self.peering, self.metrics, rng
--- a/packages/router/seamhold/settings_follower.py
+++ b/packages/router/seamhold/settings_follower.py
@@ -39,16 +39,18 @@
         settings_task: SettingsTask,
         box: str,
         live_boxes: Callable[[], tuple[str, ...]],
+        lagging: Callable[[], bool] = lambda: False,
     ):
         super().__init__(platform, metrics, rng)
         self._settings_task = settings_task
         self._box = box
         self._live_boxes = live_boxes
+        self._lagging = lagging
         self._envelopes: dict[str, Envelope] = {}
 
     def should_follow(self) -> bool:
-        """Whether this box ranks among the watchers, or has no settings yet."""
-        if not self._settings_task.ready.is_set():
+        """Whether this box ranks among the watchers, or lacks the settings or updates of them."""
+        if not self._settings_task.ready.is_set() or self._lagging():
             return True
         return self._box in self._watchers()
 
