Send calls between boxes again on more than one new connection

What callers would see: a key that was dropped runs on for more than two seconds where the connection of a pull goes silent as it is opened, or that of its hedge does; with two boxes there is no other peer to pull from.

Cause: a call was sent again once, and not at all where it had opened its connection itself: a silence within that call was found by its limit of 1.5 s.

Change: a call without an answer is sent again after 0.2 s, and after 0.4 and 0.8 s more, each time on a new connection; one that opened the first connection waits 0.4 s at first. The first answer counts, as before, and the connection that gave it is kept. Refused connections to a peer that has ended still fail at once.

Evidence: two new tests of test_silent_peer_connections, silent first connection and silent hedge, fail before and pass now; the same silence with 1, 2 and 99 peers passes before and after.

--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -2,11 +2,11 @@
 
 A connection can stop delivering without a reset while new ones work, and a call on it would
 wait until its time limit.  Calls that may safely arrive twice are therefore hedged: one that is
-not answered soon is sent again on a new connection, and the first answer counts.
+not answered soon is sent again on a new connection, up to a few times, and the first answer counts.
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 from typing import TypeVar
 
@@ -45,9 +45,14 @@
 #: of the same suspect request, and each run could end an engine.
 TRIAL_REQUEST_SECONDS = 0.5
 #: A call without an answer is sent again on a new connection after this long, in seconds, or
-#: after this share of its time limit if that is less.
+#: after this share of its time limit if that is less.  Where it had to open the first connection,
+#: which takes some round trips, it waits longer.
 HEDGE_SECONDS = 0.2
 HEDGE_SHARE = 0.3
+NEW_CONNECTION_HEDGE_SECONDS = 0.4
+NEW_CONNECTION_HEDGE_SHARE = 0.6
+#: Each wait before a call is sent again is twice the one before.
+HEDGES_MAX = 3
 #: Relayed answers and tunnels last long and are sent only once: while there are any, pings find
 #: out within 3 s that their connection went silent.
 STREAM_CONFIG = Configuration(
@@ -218,15 +223,14 @@
 
         Raises one of PEER_ERRORS.  After a timeout, later calls use a new connection.
         """
-        was_open = self._connection is not None
+        patience = min(HEDGE_SECONDS, HEDGE_SHARE * seconds)
+        is_new = self._connection is None
+        if is_new:
+            patience = min(NEW_CONNECTION_HEDGE_SECONDS, NEW_CONNECTION_HEDGE_SHARE * seconds)
         connection = self._open_connection()
         try:
             async with asyncio.timeout(seconds):
-                if was_open:
-                    patience = min(HEDGE_SECONDS, HEDGE_SHARE * seconds)
-                    reply = await self._hedge(send, connection, patience)
-                else:
-                    reply = await _send_on(connection, send)
+                reply = await self._hedge(send, connection, patience, is_new)
         except TimeoutError:
             self._retire(connection)
             raise
@@ -238,25 +242,40 @@
         send: Callable[[PeerStub], Awaitable[Reply]],
         connection: _Connection,
         patience: float,
+        is_new: bool,
     ) -> Reply:
-        """Return the first reply, on `connection` or after `patience` seconds on a new one."""
-        first = asyncio.create_task(_send_on(connection, send))
-        fresh = None
-        tasks = [first]
+        """Return the first reply, on `connection` or on one that is opened after a wait.
+
+        If an older connection turns out to be closed, a new one is opened without a wait.
+        """
+        attempts = {asyncio.create_task(_send_on(connection, send)): connection}
+        opened: list[_Connection] = []
         try:
-            await asyncio.wait(tasks, timeout=patience)
-            if first.done() and not isinstance(first.exception(), CONNECTION_ERRORS):
-                return first.result()
-            fresh = self._new_connection()
-            tasks.append(asyncio.create_task(_send_on(fresh, send)))
-            answered, reply = await _first_reply(tasks)
-            if answered is not first:
-                self._replace(connection, fresh)
-            return reply
+            while True:
+                wait_seconds = patience if len(opened) < HEDGES_MAX else None
+                done, _ = await asyncio.wait(
+                    attempts, timeout=wait_seconds, return_when=asyncio.FIRST_COMPLETED
+                )
+                broken = None
+                for task in done:
+                    used = attempts.pop(task)
+                    broken = task.exception()
+                    if not isinstance(broken, CONNECTION_ERRORS):
+                        self._replace(connection, used)
+                        return task.result()
+                if broken is not None and attempts:
+                    continue
+                if broken is not None and (opened or is_new):
+                    raise broken
+                fresh = self._new_connection()
+                opened.append(fresh)
+                attempts[asyncio.create_task(_send_on(fresh, send))] = fresh
+                patience *= 2
         finally:
-            _discard(tasks)
-            if fresh is not None and fresh is not self._connection:
-                fresh.retire()
+            _discard(attempts)
+            for fresh in opened:
+                if fresh is not self._connection:
+                    fresh.retire()
 
     def _new_connection(self) -> _Connection:
         return _Connection(self._host, self._port)
@@ -279,7 +298,7 @@
 
     def _replace(self, silent: _Connection, fresh: _Connection) -> None:
         """Use `fresh` for later calls, unless another call has replaced `silent` already."""
-        if self._connection is silent:
+        if self._connection is silent and fresh is not silent:
             silent.retire()
             self._connection = fresh
 
@@ -303,19 +322,7 @@
         return await send(stub)
 
 
-async def _first_reply(
-    tasks: list[asyncio.Task[Reply]],
-) -> tuple[asyncio.Task[Reply], Reply]:
-    """Return the first task that has a reply, and the reply; raise an error if all fail."""
-    pending = set(tasks)
-    while True:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            if task.exception() is None or not pending:
-                return task, task.result()
-
-
-def _discard(tasks: list[asyncio.Task]) -> None:
+def _discard(tasks: Iterable[asyncio.Task]) -> None:
     """Cancel the tasks that still run, and drop the errors of the others."""
     for task in tasks:
         task.cancel()
--- a/tests/test_silent_peer_connections.py
+++ b/tests/test_silent_peer_connections.py
@@ -28,6 +28,8 @@
 #: A call whose caller waits for the reply gets 0.15 s.
 REPORT_SECONDS = 0.15
 DIGEST_SECONDS = 0.1
+#: Longer than until a call is sent again, and shorter than until it is sent a third time.
+OPENING_SECONDS = 0.3
 #: A call has been sent after so long, and is not yet sent again.
 SENT_SECONDS = 0.05
 #: A connection that went silent is found within this time, as a backend server's is.
@@ -75,10 +77,14 @@
         super().setUp()
         self.proxies = ProxyLoop()
         self.addCleanup(self.proxies.stop)
+        self.peers = PEERS
+        self.background: list[asyncio.Task] = []
+        self.start_box()
+
+    def start_box(self) -> None:
         self.settings_task = SettingsTask(Metrics(), lambda tree: None)
         self.settings_task.start()
         self.addCleanup(self.settings_task.stop)
-        self.background: list[asyncio.Task] = []
         self.decider = Decider(Router('box-0', 'a'), time.monotonic)
         self.pulls = PeerPulls(
             self.decider, self.settings_task, Metrics(), random.Random(1), lambda: True
@@ -93,7 +99,7 @@
 
     async def _run_with_peers(self, scenario, unreachable: int) -> None:
         peer: Any = AnsweringPeer()
-        servers = [PeerServer(peer) for _ in range(PEERS)]
+        servers = [PeerServer(peer) for _ in range(self.peers)]
         self.links: list[FaultProxy] = []
         links = self.links
         clients = {}
@@ -148,6 +154,37 @@
 
         self.run_with_peers(scenario)
 
+    def test_a_change_is_pulled_in_time_in_fleets_of_any_size(self):
+        for peers in (1, 2, 99):
+            self.peers = peers
+            self.start_box()
+            self.run_with_peers(self.pull_change)
+
+    def test_a_call_whose_first_connection_goes_silent_is_answered_on_another(self):
+        async def scenario(clients):
+            client = clients['box-1']
+            client.close()
+            await self.call_while_opened_connections_go_silent(client.pull_lists)
+
+        self.run_with_peers(scenario)
+
+    def test_a_call_whose_second_connection_goes_silent_too_is_answered_on_a_third(self):
+        async def scenario(clients):
+            await self.call_while_opened_connections_go_silent(clients['box-1'].pull_cases)
+
+        self.run_with_peers(scenario)
+
+    async def call_while_opened_connections_go_silent(self, pull) -> None:
+        """Silence for good what is opened to the first peer in the first third of a second."""
+        link = self.links[0]
+        link.set_mode(Mode.SILENCE)
+        async with asyncio.timeout(IN_FORCE_SECONDS):
+            call = asyncio.create_task(pull())
+            await asyncio.sleep(OPENING_SECONDS)
+            await asyncio.to_thread(link.silence_open)
+            link.set_mode(Mode.PASS)
+            await call
+
     def test_cases_are_pulled_in_time_while_a_connection_is_silent(self):
         async def scenario(clients):
             async with asyncio.timeout(IN_FORCE_SECONDS):
