--- a/Makefile
+++ b/Makefile
@@ -54,13 +54,15 @@
 # half a deployment of four failure domains whose engines come and are replaced, and one with
 # requests that end each engine that runs them, beside troubles of boxes, one in which boxes
 # are cut from all engines and connections between boxes go silent, and one of brittle servers
-# beside engines that fall silent for a second.
+# beside engines that fall silent for a second, and one in which all boxes start anew and their connections
+# to each other go silent.
 soak-dialect-short: install
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --runs 2 --seconds 12
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --seconds 12 --scale 0.5 --series hot,release+engines_come
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 3 --seconds 12 --engines 16 --rate 40 --series ending_request,pause+term+reload
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 4 --seconds 14 --quirks none --series boxes_cut+boxes_reset,peers_silent
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 5 --seconds 10 --quirks none --series brittle,engine_silent
+	cd platform && ../$(BIN)/python -m dialect_soak --seed 1 --seconds 12 --quirks none --rate 60 --busy 0 --series peers_silent_after_start
 
 soak-dialect: install
 	cd platform && ../$(BIN)/python -m dialect_soak --seed $(SEED) --runs $(RUNS)
