A claim that cannot be read takes its own key alone

What callers would see: one row of a bucket of idempotency keys that is not a claim (another writer's, or a later version's) ended each write of that bucket with an untyped error. Calls whose keys fall into the bucket, one in sixteen, waited for their whole time and failed, for as long as the row stood.

Cause: a bucket was read as one value; an error other than an unavailable platform left the writer's loop with the calls' replies unset.

Change: rows are read one by one. One that cannot be read may be a claim, so its key counts as taken, and the row is written back as it is; it is counted and logged. An object that is no bucket does not tell which keys are claimed: it is platform_unreadable, and the calls get claims_unavailable in their time.

--- a/packages/attempts/seamhold_attempts/claims.py
+++ b/packages/attempts/seamhold_attempts/claims.py
@@ -12,6 +12,7 @@
 
 from enum import StrEnum
 
+import msgspec
 from msgspec import Struct
 
 from seamhold_messages.hashing import hash64, hash128
@@ -56,22 +57,40 @@
     return hash64(key) % buckets
 
 
+class BucketUnreadable(ValueError):
+    """An object is no bucket, so that it is not known which keys are claimed."""
+
+
 class ClaimBucket:
-    """The content of one bucket object."""
+    """The content of one bucket object.
+
+    A row that cannot be read may be a claim: it is kept as it is, and its key is taken.
+    """
 
-    def __init__(self, claims: dict[str, Claim] | None = None):
+    def __init__(
+        self, claims: dict[str, Claim] | None = None, unreadable: dict[str, object] | None = None
+    ):
         self.claims = dict(claims or {})
+        self.unreadable = unreadable or {}
 
     @classmethod
     def from_spec(cls, spec: dict) -> 'ClaimBucket':
-        """Read a bucket from the object's value."""
-        rows = spec.get('claims', {})
-        return cls({key: Claim(key, *row) for key, row in rows.items()})
+        """Read a bucket from the object's value; raises BucketUnreadable."""
+        rows = spec.get('claims', {}) if isinstance(spec, dict) else None
+        if not isinstance(rows, dict):
+            raise BucketUnreadable('the object has no mapping of claims')
+        claims, unreadable = {}, {}
+        for key, row in rows.items():
+            try:
+                claims[key] = Claim(key, *msgspec.convert(row, tuple[str, str, float]))
+            except (msgspec.ValidationError, OverflowError, RecursionError):
+                unreadable[key] = row
+        return cls(claims, unreadable)
 
     def to_spec(self) -> dict:
         """Return the object's value: rows of owner, body hash and time by key."""
         rows = {key: [claim.owner, claim.body_hash, claim.at] for key, claim in self.claims.items()}
-        return {'claims': rows}
+        return {'claims': rows | self.unreadable}
 
     def drop_before(self, before: float) -> None:
         """Drop claims made before `before`; the at-most-once guarantee for their keys ends."""
@@ -79,6 +98,8 @@
 
     def try_claim(self, claim: Claim) -> ClaimState:
         """Add the claim if its key is free, and return the key's state for this owner."""
+        if claim.key in self.unreadable:
+            return ClaimState.TAKEN
         held = self.claims.get(claim.key)
         if held is None:
             if len(self.claims) >= CLAIMS_MAX:
--- a/packages/router/seamhold/claims.py
+++ b/packages/router/seamhold/claims.py
@@ -5,12 +5,13 @@
 
 from msgspec import Struct
 
-from seamhold_attempts.claims import Claim, ClaimBucket, ClaimState
+from seamhold_attempts.claims import BucketUnreadable, Claim, ClaimBucket, ClaimState
 from seamhold_messages.errors import (
     ClaimsUnavailable,
     PlatformConflict,
     PlatformNotFound,
     PlatformUnavailable,
+    PlatformUnreadable,
 )
 from seamhold_peers import ClaimRequest
 from seamhold_platform import ObjectKind, PlatformClient, PlatformObject
@@ -143,7 +144,7 @@
         """
         while True:
             cached = self._cached.get(number) or self._read(number)
-            bucket = ClaimBucket(cached.bucket.claims)
+            bucket = ClaimBucket(cached.bucket.claims, cached.bucket.unreadable)
             now = self._environment.unix_time()
             bucket.drop_before(now - self._control().claim_seconds)
             for release in releases:
@@ -172,7 +173,14 @@
             found = self._platform.get(ObjectKind.CLAIMS, self._object_name(number))
         except PlatformNotFound:
             return _CachedBucket(ClaimBucket())
-        cached = _CachedBucket(ClaimBucket.from_spec(found.spec), found.version)
+        try:
+            bucket = ClaimBucket.from_spec(found.spec)
+        except BucketUnreadable as error:
+            raise PlatformUnreadable(f'{found.name}: {error}') from error
+        if bucket.unreadable:
+            self._metrics.count('claims.unreadable', len(bucket.unreadable))
+            self.log.warning('claims.unreadable', object=found.name, rows=len(bucket.unreadable))
+        cached = _CachedBucket(bucket, found.version)
         self._cached[number] = cached
         return cached
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -20,7 +20,7 @@
     may_retry,
     parse_ticket,
 )
-from seamhold_attempts.claims import Claim
+from seamhold_attempts.claims import BucketUnreadable, Claim
 from seamhold_attempts.retry import RESTORED_MAX
 from seamhold_messages.errors import (
     ClaimsUnavailable,
@@ -188,6 +188,18 @@
 
 
 class TestClaimBucket(testtools.TestCase):
+    def test_a_row_that_cannot_be_read_takes_its_key_and_no_other(self):
+        valid = ['me', 'hash', 1.0]
+        for row in (None, 7, [], valid[:2], [*valid, 1], [1, 'hash', 1.0], ['me', 'hash', 'x']):
+            bucket = ClaimBucket.from_spec({'claims': {'odd': row, 'key': valid}})
+            self.assertEqual(ClaimState.TAKEN, bucket.try_claim(Claim('odd', 'me', 'hash', 2.0)))
+            self.assertEqual(ClaimState.OWNED, bucket.try_claim(Claim('key', 'me', 'hash', 2.0)))
+            self.assertEqual(ClaimState.OWNED, bucket.try_claim(Claim('new', 'me', 'hash', 2.0)))
+            bucket.drop_before(10.0)
+            self.assertEqual({'claims': {'odd': row}}, bucket.to_spec())
+        for spec in (None, [], {'claims': None}, {'claims': [valid]}):
+            self.assertRaises(BucketUnreadable, ClaimBucket.from_spec, spec)
+
     def test_the_first_owner_stays(self):
         bucket = ClaimBucket()
         self.assertIs(ClaimState.OWNED, bucket.try_claim(Claim('k', 'a', 'body', 1.0)))
