Set the lag's gauge at each roster update, not at each digest

A gauge is a datagram where statsd is configured, and a box receives some thirty digests a second. test_update_lag and test_failing_pulls pass.

--- a/packages/router/seamhold/lag_watch.py
+++ b/packages/router/seamhold/lag_watch.py
@@ -45,19 +45,30 @@
         own = self._own_versions()
         for kind, lag in self._lags.items():
             lag.announce(announced[kind], own[kind], now)
-        self.check()
+        self._update(own, now)
 
     def check(self) -> None:
-        """Report which kinds have lagged for too long, so that this box reads them itself."""
-        now = self._clock()
-        own = self._own_versions()
-        seconds = {kind: lag.seconds(own[kind], now) for kind, lag in self._lags.items()}
+        """Report how old the oldest announced update is that this box lacks."""
+        seconds = self._update(self._own_versions(), self._clock())
         self._metrics.gauge('update_lag_seconds', round(max(seconds.values()), 3))
+
+    def _update(self, own: dict[ObjectKind, int], now: float) -> dict[ObjectKind, float]:
+        """Let this box read what has lagged for too long; return the lags."""
+        seconds = {kind: lag.seconds(own[kind], now) for kind, lag in self._lags.items()}
         lagging = frozenset(kind for kind in KINDS if seconds[kind] >= LAG_SECONDS)
         before = self._decider.lagging
-        if lagging == before:
-            return
-        self._decider.lagging = lagging
+        if lagging != before:
+            self._decider.lagging = lagging
+            self._log_changes(before, lagging, own, seconds)
+        return seconds
+
+    def _log_changes(
+        self,
+        before: frozenset[ObjectKind],
+        lagging: frozenset[ObjectKind],
+        own: dict[ObjectKind, int],
+        seconds: dict[ObjectKind, float],
+    ) -> None:
         for kind in lagging - before:
             self._metrics.count(f'updates.lagging_{kind}')
             self._log.warning(
