Read an object's name also where another part of its metadata cannot be decoded

An event whose metadata held an undecodable part was left out as nameless, so that an engine whose entry became such kept its last state. The name and the version are read from their own parts. test_an_entry_whose_metadata_cannot_be_ decoded_still_has_its_name fails before.

--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -51,7 +51,7 @@
 HEDGE_SHARE = 0.3
 NEW_CONNECTION_HEDGE_SECONDS = 0.4
 NEW_CONNECTION_HEDGE_SHARE = 0.6
-#: Each wait before a call is sent again is twice the one before.
+#: Limit on the new connections for one call; each wait is twice the one before.
 HEDGES_MAX = 3
 #: Relayed answers and tunnels last long and are sent only once: while there are any, pings find
 #: out within 3 s that their connection went silent.
--- a/packages/platform/seamhold_platform/objects.py
+++ b/packages/platform/seamhold_platform/objects.py
@@ -50,7 +50,9 @@
             unreadable = ''
         except JsonUnreadable as error:
             # The metadata may still tell which object this is.
-            value = {'metadata': decode(members(text).get('metadata', b'null'))}
+            fields = members(members(text).get('metadata', b''))
+            known = {name: fields[name] for name in ('name', version_field) if name in fields}
+            value = {'metadata': {name: decode(part) for name, part in known.items()}}
             unreadable = str(error)
         metadata = value.get('metadata') if isinstance(value, dict) else None
         if not isinstance(metadata, dict) or not isinstance(metadata.get('name'), str):
