Starting boxes query no more peers where updates of the roster overlap

Cause: a box asks three more peers for holdings with each update of its roster, nine at most, and counted those that it had asked so far. The list of boxes updates the roster, too, beside the timer: two that overlap chose before either had counted, ten and more were asked, and the next choice was of a negative number. Where the first choice fails so, first_query_done is never set.

Change: peers count as queried once they are chosen.

Ruled out: a limit of zero (peers would be asked more often than nine times). Evidence: test_updates_of_the_roster_that_overlap_query_no_more_peers raises the same error before.

--- a/packages/router/seamhold/holdings_pull.py
+++ b/packages/router/seamhold/holdings_pull.py
@@ -64,8 +64,10 @@
             return
         unqueried = [client for client in clients.values() if client.address not in self._queried]
         limit = min(PEERS_AT_ONCE, PEERS_MAX - len(self._queried), len(unqueried))
-        for client in self._rng.sample(unqueried, limit):
-            self._queried.add(client.address)
+        chosen = self._rng.sample(unqueried, limit)
+        # Another update of the roster may run during the queries.
+        self._queried.update(client.address for client in chosen)
+        for client in chosen:
             if await self._query(client, apply_lists):
                 self.received_all = True
                 break
--- a/tests/test_holdings_pull.py
+++ b/tests/test_holdings_pull.py
@@ -23,6 +23,7 @@
 
     async def pull_lists(self, holdings: bool) -> FleetLists:
         self.queries += 1
+        await asyncio.sleep(0)
         if not self._reached:
             raise ConnectionRefusedError
         return FleetLists([], [], 1, 1, (Holding(1, 'e1'),), self._complete)
@@ -59,6 +60,19 @@
         self.assertEqual(1, max(peer.queries for peer in peers))
         self.assertFalse(self.pull.received_all)
 
+    def test_updates_of_the_roster_that_overlap_query_no_more_peers(self):
+        peers = [Peer(str(number)) for number in range(100)]
+        clients = {peer.address: peer for peer in peers}
+
+        async def overlap():
+            queries = [self.pull.query_peers(clients, lambda lists: None) for _ in range(8)]
+            await asyncio.gather(*queries)
+            await self.pull.query_peers(clients, lambda lists: None)
+
+        asyncio.run(overlap())
+        self.assertEqual(PEERS_MAX, sum(peer.queries for peer in peers))
+        self.assertEqual(1, max(peer.queries for peer in peers))
+
     def test_complete_answer_ends_the_queries(self):
         self.assertEqual(
             1, self.query_peers([Peer('a', complete=True), Peer('b', complete=True)], 5)
