--- a/packages/messages/seamhold_messages/names.py
+++ b/packages/messages/seamhold_messages/names.py
@@ -6,6 +6,8 @@
 
 import re
 
+from .errors import EntryUnsound
+
 NAME_MAX_CHARS = 253
 #: What stands for text that could not be decoded.
 REPLACEMENT = '\ufffd'
@@ -21,3 +23,16 @@
 def is_label(text: str) -> bool:
     """Whether a text can be logged, be a metric's label and be sent to other boxes."""
     return 0 < len(text) <= NAME_MAX_CHARS and text.isprintable() and REPLACEMENT not in text
+
+
+def check_identifier(text: str) -> None:
+    """Raise EntryUnsound unless a text is an identifier."""
+    if not is_identifier(text):
+        raise EntryUnsound(f'{text!a} cannot be a header field')
+
+
+def check_labels(*texts: str) -> None:
+    """Raise EntryUnsound unless all texts are labels."""
+    for text in texts:
+        if not is_label(text):
+            raise EntryUnsound(f'{text!a} is not a printable name')
--- a/packages/router/seamhold/list_follower.py
+++ b/packages/router/seamhold/list_follower.py
@@ -6,7 +6,7 @@
 
 from seamhold_messages.errors import EntryUnreadable, EntryUnsound
 from seamhold_messages.fleet import Box, Engine, Phase
-from seamhold_messages.names import is_identifier, is_label
+from seamhold_messages.names import check_identifier, check_labels
 from seamhold_platform import ObjectKind, PlatformObject, WatchKind
 
 from .follower import Follower
@@ -34,10 +34,10 @@
         float(spec.get('weight', 1.0)),
         Phase(spec.get('phase', Phase.LIVE)),
     )
-    _check_identifier(engine.name)
+    check_identifier(engine.name)
     if engine.incarnation:
-        _check_identifier(engine.incarnation)
-    _check_labels(engine.service, engine.address, engine.failure_domain)
+        check_identifier(engine.incarnation)
+    check_labels(*filter(None, (engine.service, engine.address, engine.failure_domain)))
     if not 0 <= engine.slots <= SLOTS_MAX or not 0 <= engine.weight < math.inf:
         raise EntryUnsound(f'invalid slots {engine.slots} or weight {engine.weight}')
     return engine
@@ -53,23 +53,11 @@
         '',
         Phase(spec.get('phase', Phase.LIVE)),
     )
-    _check_identifier(box.name)
-    _check_labels(box.peer_address, box.failure_domain)
+    check_identifier(box.name)
+    check_labels(*filter(None, (box.peer_address, box.failure_domain)))
     return box
 
 
-def _check_identifier(text: str) -> None:
-    if not is_identifier(text):
-        raise EntryUnsound(f'{text!a} cannot be a header field')
-
-
-def _check_labels(*texts: str) -> None:
-    """Check the optional fields of an entry, which are empty if they are missing."""
-    for text in texts:
-        if text and not is_label(text):
-            raise EntryUnsound(f'{text!a} is not a printable name')
-
-
 class ListFollower(Follower):
     """Follows a list, and passes the whole list to `deliver` after each change."""
 
