--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -241,6 +241,7 @@
     def _status(self) -> dict:
         report = self.decider.query(GetReport()).result(STATUS_SECONDS)
         self.metrics.gauge('calls_in_flight', report.in_flight)
+        self.metrics.gauge('unnamed_objects', self.store.unnamed)
         return {
             'box': self.config.box,
             'ready': self._is_ready(),
