The event that wakes the followers cannot be cleared by an older state

What callers would see: a box that has to read the store itself, because it has lost it or lags behind, sleeps for up to five seconds longer.

Cause: the event was set or cleared from a state read before; of two threads that change it at once (a follower that regains the store, the peers' loop that finds a lag), the one that read first may write last.

Change: reading the state and writing the event are one step.

No test: the rate is too low for one that fails reliably.

--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -88,6 +88,7 @@
         #: Set while this box watches the store, has lost it and must reconnect, or lags behind.
         self.store_wanted = threading.Event()
         self.store_wanted.set()
+        self._store_wanted_lock = threading.Lock()
         #: Called when there is an update that peers should receive immediately.
         self.on_update: Callable[[], None] | None = None
         #: Called with each new list of boxes, whether from the store or from a peer.
@@ -174,10 +175,12 @@
         return self._router.engines.takes_work(engine, incarnation, self._clock())
 
     def _update_store_wanted(self) -> None:
-        if self.watches_store or self._store_lost or self._lagging:
-            self.store_wanted.set()
-        else:
-            self.store_wanted.clear()
+        # Three threads call this: the event must show what the last of them changed.
+        with self._store_wanted_lock:
+            if self.watches_store or self._store_lost or self._lagging:
+                self.store_wanted.set()
+            else:
+                self.store_wanted.clear()
 
     def _notify_peers(self) -> None:
         if self.on_update is not None:
