--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -6,7 +6,7 @@
 
 import json
 import zlib
-from typing import TypeVar
+from typing import Any
 
 import msgspec
 from grpclib.encoding.base import CodecBase
@@ -26,8 +26,6 @@
 #: What msgspec and json raise for a value that has no encoding.
 ENCODING_ERRORS = (ValueError, OverflowError, TypeError, RecursionError)
 
-Message = TypeVar('Message')
-
 
 class UnreadablePart(ValueError):
     """A message, or a compressed part of one, cannot be decoded."""
@@ -65,7 +63,7 @@
         raise UnreadablePart(str(error)) from error
 
 
-def split_encodable(message: Message) -> tuple[Message, list[object]]:
+def split_encodable(message: Any) -> tuple[Any, list[object]]:
     """Return a message without the items of its lists that have no encoding, and these items.
 
     `message` is a struct, or a tuple of items.
--- a/packages/platform/seamhold_platform/json_parts.py
+++ b/packages/platform/seamhold_platform/json_parts.py
@@ -7,6 +7,7 @@
 import json
 import math
 import re
+from typing import Any
 
 #: Limit on one object; a platform may keep all settings of a fleet in one.
 OBJECT_MAX_BYTES = 16 * 1024 * 1024
@@ -29,7 +30,7 @@
     """A JSON text, or a part of it, cannot be decoded."""
 
 
-def decode(text: bytes, max_bytes: int = OBJECT_MAX_BYTES) -> object:
+def decode(text: bytes, max_bytes: int = OBJECT_MAX_BYTES) -> Any:
     """Return the value of a JSON text; raises JsonUnreadable.
 
     Invalid UTF-8 and halves of surrogate pairs, which have no encoding, are replaced by U+FFFD.
@@ -124,7 +125,7 @@
     return int(digits) if len(digits) <= DIGITS_MAX else math.inf
 
 
-def _without_surrogates(value: object) -> object:
+def _without_surrogates(value: Any) -> Any:
     if isinstance(value, str):
         return value.encode('utf-16', 'surrogatepass').decode('utf-16', 'replace')
     if isinstance(value, list):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,7 @@
 """Retries, tickets and claims."""
 
 import threading
+from typing import Any
 
 import testtools
 from hypothesis import given
@@ -197,7 +198,8 @@
             self.assertEqual(ClaimState.OWNED, bucket.try_claim(Claim('new', 'me', 'hash', 2.0)))
             bucket.drop_before(10.0)
             self.assertEqual({'claims': {'odd': row}}, bucket.to_spec())
-        for spec in (None, [], {'claims': None}, {'claims': [valid]}):
+        unreadable: tuple[Any, ...] = (None, [], {'claims': None}, {'claims': [valid]})
+        for spec in unreadable:
             self.assertRaises(BucketUnreadable, ClaimBucket.from_spec, spec)
 
     def test_the_first_owner_stays(self):
--- a/tests/test_holdings_pull.py
+++ b/tests/test_holdings_pull.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import Any
 
 import testtools
 
@@ -62,7 +63,7 @@
 
     def test_updates_of_the_roster_that_overlap_query_no_more_peers(self):
         peers = [Peer(str(number)) for number in range(100)]
-        clients = {peer.address: peer for peer in peers}
+        clients: Any = {peer.address: peer for peer in peers}
 
         async def overlap():
             queries = [self.pull.query_peers(clients, lambda lists: None) for _ in range(8)]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,6 +3,7 @@
 import io
 import random
 import time
+from typing import Any
 
 import testtools
 from hypothesis import given
@@ -288,14 +289,15 @@
 
     def test_an_object_that_cannot_be_sent_to_peers_is_invalid(self):
         valid = first_version('fleet', Edit('e', 1.0, 'me'), {'a': 1}).to_spec()
-        for changes in (
+        invalid: tuple[dict[str, Any], ...] = (
             {'revision': REVISION_MAX + 1},
             {'revision': '1'},
             {'edits': [{'id': 7, 'at': 1.0, 'author': 'me'}]},
             {'edits': []},
             {'edits': None},
             {'value': 'text'},
-        ):
+        )
+        for changes in invalid:
             self.assertRaises(SettingsInvalid, Envelope.from_spec, 'fleet', valid | changes)
         largest = Envelope.from_spec('fleet', valid | {'revision': REVISION_MAX})
         self.assertEqual((REVISION_MAX, {'a': 1}), (largest.revision, largest.value))
