Both clients of a platform read objects in one place, and both log what they leave out

The product's own client left out objects without a readable name and counted them in an attribute that nobody read: no line told of it. Both clients had the same two functions that read objects, and three classes the same "log each item once, up to a limit".

Change: ObjectReader in seamhold_platform is used by both clients; the caller says what to do with an object that is left out, and both log it once. LogOnce in seamhold.logs replaces the three sets. The field of settings.foreign and object.unreadable in the log is `item` now, as in peers.item_unencodable.

--- a/packages/platform/seamhold_platform/client.py
+++ b/packages/platform/seamhold_platform/client.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 import urllib3
 
@@ -21,6 +21,7 @@
 
 from .json_parts import JsonUnreadable, decode, elements, members
 from .objects import VERSION_FIELD, ObjectKind, Page, PlatformObject, WatchEvent, WatchKind
+from .reader import ObjectReader, OnUnnamed
 
 API_ROOT = '/apis/seamhold/v1'
 CONNECT_SECONDS = 1.0
@@ -42,14 +43,16 @@
 class PlatformClient:
     """One box's client of the object API.
 
-    `calls` counts calls by verb; a watch counts as one call.  `unnamed` counts objects that were
-    left out because they have no readable name.
+    `calls` counts calls by verb; a watch counts as one call.  `on_unnamed` is called for each
+    object that is left out because it has no readable name.
     """
 
-    def __init__(self, url: str, pool_size: int = 4):
+    def __init__(
+        self, url: str, pool_size: int = 4, on_unnamed: OnUnnamed = lambda text, error: None
+    ):
         self.url = url.rstrip('/')
         self.calls: Counter[str] = Counter()
-        self.unnamed = 0
+        self._reader = ObjectReader(VERSION_FIELD, on_unnamed)
         self._pool = urllib3.PoolManager(
             maxsize=pool_size,
             retries=False,
@@ -76,23 +79,10 @@
         answer.release_conn()
         return kind(f'{verb}: the platform answered {answer.status}')
 
-    def _object(self, verb: str, kind: ObjectKind, answer) -> PlatformObject:
-        """Return the only object of an answer; raises PlatformUnreadable."""
-        try:
-            item = PlatformObject.from_json(answer.data, kind)
-        except JsonUnreadable as error:
-            raise PlatformUnreadable(f'{verb}: {error}') from error
-        if item.unreadable:
-            raise PlatformUnreadable(f'{verb}: {item.unreadable}')
-        return item
-
-    def _named(self, kind: ObjectKind, texts: Iterable[bytes]) -> Iterator[PlatformObject]:
-        """Yield the objects that have a name."""
-        for text in texts:
-            try:
-                yield PlatformObject.from_json(text, kind)
-            except JsonUnreadable:
-                self.unnamed += 1
+    @property
+    def unnamed(self) -> int:
+        """Number of objects that were left out because they have no readable name."""
+        return self._reader.unnamed
 
     def list(self, kind: ObjectKind, stale: bool = False) -> Page:
         """Return all objects of a kind and the version to watch from.
@@ -107,11 +97,12 @@
             items = elements(page['items'])
         except (JsonUnreadable, KeyError, TypeError) as error:
             raise PlatformUnreadable(f'list: {error!r}') from error
-        return Page([*self._named(kind, items)], version)
+        return Page(self._reader.read_named(kind, items), version)
 
     def get(self, kind: ObjectKind, name: str) -> PlatformObject:
         """Return one object; raises PlatformNotFound."""
-        return self._object('get', kind, self._call('get', 'GET', self._path(kind, name)))
+        answer = self._call('get', 'GET', self._path(kind, name))
+        return self._reader.read_one(kind, answer.data)
 
     def put(self, kind: ObjectKind, item: PlatformObject) -> PlatformObject:
         """Write the object if it is still at `item.version`; '' creates it.
@@ -123,7 +114,8 @@
             path, method = self._path(kind, item.name), 'PUT'
         else:
             path, method = self._path(kind), 'POST'
-        return self._object('put', kind, self._call('put', method, path, item.to_wire()))
+        answer = self._call('put', method, path, item.to_wire())
+        return self._reader.read_one(kind, answer.data)
 
     def delete(self, kind: ObjectKind, name: str, version: str) -> None:
         """Delete the object if it is still at `version`; raises PlatformConflict if not."""
@@ -176,7 +168,7 @@
             raise PlatformUnreadable(f'watch: {error!r}') from error
         if change == ERROR:
             raise PlatformGone('watch: the version is too old')
-        for item in self._named(kind, [event.get('object', b'null')]):
+        for item in self._reader.read_named(kind, [event.get('object', b'null')]):
             yield WatchEvent(change, item)
 
     def close(self) -> None:
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -19,7 +19,8 @@
 from ..decider import Decider
 from ..decisions import StoreAnswered
 from ..follower import Follower
-from ..list_follower import UNREADABLE_LOGGED_MAX, ListFollower
+from ..list_follower import ListFollower
+from ..logs import LogOnce
 from ..metrics import Metrics
 from ..ports import ObjectStore
 from ..settings_task import OFFER_SECONDS, OfferSettings, SettingsTask
@@ -125,8 +126,7 @@
         self._watch = watch
         self._settings_task = settings_task
         self._name = name
-        #: Names of other objects that were logged.
-        self._foreign: set[str] = set()
+        self._foreign = LogOnce(f'follow-{self.kind}', 'settings.foreign')
         self._read = read
         self._defaults = defaults
 
@@ -171,9 +171,7 @@
             self._offer(item)
             return
         self.metrics.count('settings.foreign')
-        if item.name not in self._foreign and len(self._foreign) < UNREADABLE_LOGGED_MAX:
-            self._foreign.add(item.name)
-            self.log.warning('settings.foreign', object=item.name)
+        self._foreign.warning(item.name)
 
     def _offer(self, item: PlatformObject) -> None:
         try:
--- a/packages/router/seamhold/logs.py
+++ b/packages/router/seamhold/logs.py
@@ -8,6 +8,7 @@
 import logging
 import queue
 import threading
+from collections.abc import Callable
 from typing import TextIO
 
 import structlog
@@ -16,6 +17,9 @@
 QUEUE_MAX_LINES = 4000
 #: Lines written by one call.
 BATCH_MAX = 200
+#: An item that is logged once is logged up to this length, and this many of them are.
+ITEM_MAX_CHARS = 200
+LOGGED_ITEMS_MAX = 50
 
 
 class BoundedStream:
@@ -78,6 +82,28 @@
         return json.dumps(line) + '\n'
 
 
+class LogOnce:
+    """Logs an event once for each item, and for a limited number of items."""
+
+    def __init__(self, task: str, event: str):
+        self._log = logger(task)
+        self._event = event
+        self._items: set[str] = set()
+
+    def warning(self, item: str, **fields: object) -> None:
+        """Log a warning about an item, unless it was logged before."""
+        item = item[:ITEM_MAX_CHARS]
+        if item not in self._items and len(self._items) < LOGGED_ITEMS_MAX:
+            self._items.add(item)
+            self._log.warning(self._event, item=item, **fields)
+
+
+def unnamed_object_log(task: str) -> Callable[[bytes, Exception], None]:
+    """Return a function that logs an object of the platform without a readable name, once."""
+    log = LogOnce(task, 'object.unreadable')
+    return lambda text, error: log.warning(repr(text[:ITEM_MAX_CHARS]), detail=str(error))
+
+
 def setup_logs(stream: TextIO, level: str = 'info') -> None:
     """Configure structlog to write JSON lines of at least `level` to `stream`."""
     structlog.configure(
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -220,8 +220,9 @@
 class ObjectStore(Protocol):
     """The store of settings and lists, with conditional writes and watches."""
 
-    #: Number of objects that were left out because they have no readable name.
-    unnamed: int
+    @property
+    def unnamed(self) -> int:
+        """Number of objects that were left out because they have no readable name."""
 
     def list(self, kind: ObjectKind, stale: bool = False) -> Page:
         """Return all objects of a kind and the version to watch from.
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -26,7 +26,7 @@
 from .entry import SPARE_THREADS, Entry, entry_application
 from .gate import Gate
 from .list_follower import ListFollower, box_from, engine_from
-from .logs import logger
+from .logs import logger, unnamed_object_log
 from .metrics import Metrics
 from .operators import Operators, operator_application
 from .pages import make_server, quiet_cherrypy
@@ -57,7 +57,9 @@
         self._stop_requests = 0
         rng = random.Random(self.incarnation)
         clock = environment.monotonic
-        self.platform = PlatformClient(config.platform_url)
+        self.platform = PlatformClient(
+            config.platform_url, on_unnamed=unnamed_object_log('platform')
+        )
         self.decider = Decider(Router(config.box, self.incarnation), clock)
         self.decider.on_engine_uses = EngineUses(self.metrics).record
         self.settings_task = SettingsTask(self.metrics, self._settings_changed)
--- a/tests/test_json_parts.py
+++ b/tests/test_json_parts.py
@@ -67,7 +67,11 @@
         super().setUp()
         self.platform = Platform().start()
         self.addCleanup(self.platform.stop)
-        self.client = PlatformClient(f'http://{HOST}:{self.platform.port}')
+        self.unnamed: list[bytes] = []
+        self.client = PlatformClient(
+            f'http://{HOST}:{self.platform.port}',
+            on_unnamed=lambda text, error: self.unnamed.append(text),
+        )
         self.addCleanup(self.client.close)
         self.store = self.platform.store
         deep: list = []
@@ -83,7 +87,7 @@
         listed = self.client.list(ObjectKind.ENGINES).objects
         self.assertEqual(['a', 'b'], [item.name for item in listed if not item.unreadable])
         self.assertEqual(['deep'], [item.name for item in listed if item.unreadable])
-        self.assertEqual(1, self.client.unnamed)
+        self.assertEqual((1, 1), (self.client.unnamed, len(self.unnamed)))
 
     def test_an_entry_that_cannot_be_decoded_does_not_end_a_watch(self):
         events = self.client.watch(ObjectKind.ENGINES, self.at, 0.2)
