Log the software version of each attempt's engine and what a stream resumes

The logs name engines only, and no line said that a request takes up a stream, so the two ways in which versions may mix (the resumption within an answer, a caller at another box) could not be told apart.

--- a/packages/messages/seamhold_messages/fleet.py
+++ b/packages/messages/seamhold_messages/fleet.py
@@ -25,6 +25,7 @@
     of concurrent calls, `weight` its share relative to the service's other engines.
     `cold_seconds` is how much longer it expects to be slow after its start, and `started`
     the time of the start in milliseconds since 1970, 0 if the engine does not report it.
+    `version` is of its software, '' if unknown; versions have no order.
     """
 
     name: str
@@ -37,6 +38,7 @@
     phase: Phase = Phase.LIVE
     cold_seconds: float = 0.0
     started: int = 0
+    version: str = ''
 
 
 def is_update_for_engine(before: Engine | None, after: Engine | None) -> bool:
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -139,7 +139,7 @@
     the age in seconds of the engine's own load report, None if the load came from boxes.
     `mean_of_all` includes leaving engines, as the load bound does; `silent` states that the
     engine did not answer this box.  `engines` counts the candidates for the call, `idle` the
-    engines that are up but get no new work.
+    engines that are up but get no new work.  `version` is the engine's software version.
     """
 
     call_id: str
@@ -158,6 +158,7 @@
     silent: bool = False
     engines: int = 0
     idle: int = 0
+    version: str = ''
 
 
 class Refused(Struct, frozen=True):
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -88,7 +88,15 @@
     )
     repeatable = policy.resumable if route.streamed else policy.repeatable
     rule = RetryRule(repeatable, policy.retries)
-    return Job(call, request, rule, NullGuard(), route.streamed, shared_tokens(metadata.prompt))
+    return Job(
+        call,
+        request,
+        rule,
+        NullGuard(),
+        route.streamed,
+        shared_tokens(metadata.prompt),
+        metadata.resumes,
+    )
 
 
 def shared_part(prompt: tuple[PromptPart, ...]) -> PromptPart | None:
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -185,6 +185,7 @@
             'workspace': job.call.workspace,
             'service': job.call.service,
             'repeatable': job.rule.repeatable,
+            'resumes': job.resumes,
             'chat': f'{hash32(job.call.chat):08x}' if job.call.sticky else '',
             'shared_tokens': job.shared_tokens,
             'attempts': [attempt.as_log() for attempt in job.attempts],
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -34,6 +34,7 @@
         placed = self.placed
         return {
             'engine': placed.engine,
+            'version': placed.version,
             'rank': placed.rank,
             'spilled': placed.spilled,
             'holders': placed.holders,
@@ -62,7 +63,8 @@
     """One call and the state of its execution.
 
     `streamed` means that the answer is passed on as it arrives; `shared_tokens`
-    is the length of the prompt's part that other calls may share.
+    is the length of the prompt's part that other calls may share.  `resumes` is the id of the
+    request that began the stream which this one takes up, '' if it begins one.
     """
 
     call: Call
@@ -71,6 +73,7 @@
     guard: Guard
     streamed: bool = False
     shared_tokens: int = 0
+    resumes: str = ''
     cancellation: Cancellation = field(default_factory=Cancellation)
     #: Attempts that reached a backend server, and connection attempts that none answered.
     sent: int = 0
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -266,7 +266,9 @@
     `remaining` is the time that the caller will wait, in seconds, None for no limit.  `key`
     is the caller's key as it was sent, '' for none.  The parts of the prompt are in order;
     the last one belongs to this request alone.  `output_tokens` is the maximum number of
-    tokens to generate, 0 if it is not known.
+    tokens to generate, 0 if it is not known.  A request that takes up a stream has in
+    `resume_after` the id of the last event that the caller received, and in `resumes` the
+    id of the request that brought the first one.
     """
 
     request_id: str
@@ -275,6 +277,7 @@
     prompt: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
     resume_after: str = ''
+    resumes: str = ''
 
 
 class AttemptMetadata(Struct, frozen=True):
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -302,6 +302,7 @@
             self._loads.silent(choice.name, now),
             len(serving.engines),
             len(serving.idle),
+            engine.version,
         )
 
     @staticmethod
