A stream goes on only at the software version that began it

Cause: a continuation was not bound to what its beginning chose. The choice lived in one attempt at one box.

Change: - A call carries the only version whose engines may take it, and placement leaves out the others: one filter, used by every way that picks an engine. A bound call waits apart from the queue, so that it holds up no other call, and stays within the load bound. - A stream is bound by its first event. Its origin (service, version) is recorded at that moment, and, while the service has or lately had engines of several versions, told to the three boxes that rank first for it; records from before go there when the second version appears. - A box that does not know a stream that is taken up asks these, and five more. If the origin stays unknown and the service has several versions, or if no other box answers, the caller is told at once that nothing ran (stream_origin_unknown). Where all engines have one version the stream goes on. - The service of a split route is chosen by the request that began the stream, too.

Why it holds: no way to an engine is left that does not go through the filter, and what is not known is refused.

--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -11,6 +11,7 @@
 from .self_reports import REST_MAX_SECONDS, SelfReports
 from .unused import ServiceUse, UnusedReason
 from .update_lag import UpdateLag
+from .versions import ServiceVersions
 
 __all__ = [
     'REST_MAX_SECONDS',
@@ -28,6 +29,7 @@
     'GossipBuffer',
     'SelfReports',
     'ServiceUse',
+    'ServiceVersions',
     'Serving',
     'UnusedReason',
     'UpdateLag',
--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -214,6 +214,13 @@
     status = 503
 
 
+class StreamOriginUnknown(SeamholdError):
+    """No box that answers knows which software version began this stream."""
+
+    code = 'stream_origin_unknown'
+    status = 503
+
+
 class TicketsFull(SeamholdError):
     """The box holds as many open tickets as it may."""
 
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -49,7 +49,8 @@
     previous turn, '' if unknown; `excluded` holds engines already tried.  A call
     that is not `sticky` reuses no cache and goes to the least loaded engine.
     `objective` is the target time to the first byte in seconds, None if the
-    settings define none.
+    settings define none.  `version` is the only software version whose engines
+    may take the call, None for any.
     """
 
     id: str
@@ -63,6 +64,7 @@
     excluded: frozenset[str] = frozenset()
     sticky: bool = True
     objective: float | None = None
+    version: str | None = None
 
 
 class Holding(Struct, frozen=True):
--- a/packages/peers/seamhold_peers/__init__.py
+++ b/packages/peers/seamhold_peers/__init__.py
@@ -7,6 +7,8 @@
     ClaimRequest,
     FleetLists,
     RelayedCall,
+    StreamQuery,
+    StreamReply,
 )
 from .client import PeerClient
 from .codec import CasesPage, EndReportReply
@@ -33,6 +35,8 @@
     'PeerHandler',
     'PeerServer',
     'RelayedCall',
+    'StreamQuery',
+    'StreamReply',
     'Tunnel',
     'TunnelFailed',
     'TunnelReply',
--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from seamhold_attempts.streams import StreamOrigin
 from seamhold_messages.errors import SeamholdError
 from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import Holding
@@ -73,3 +74,17 @@
     owner: str
     body_hash: str
     wait: float
+
+
+class StreamQuery(Struct, frozen=True):
+    """Request for the origin of the stream with this key, and for the versions of a service."""
+
+    key: str
+    service: str
+
+
+class StreamReply(Struct, frozen=True):
+    """A box's reply: the origin, None if unknown, and the service's versions as known there."""
+
+    origin: StreamOrigin | None = None
+    versions: frozenset[str] = frozenset()
--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -15,13 +15,21 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from seamhold_attempts.claims import ClaimState
+from seamhold_attempts.streams import StreamRecord
 from seamhold_messages.errors import ClaimsUnavailable, TicketUnreachable
 from seamhold_messages.work import BoxRetries, Holding
 from seamhold_quarantine import Case, EndReport, Permission, TrialRequest, TrialResult
 from seamhold_settings.versions import Candidate
 
 from . import codec
-from .calls import AnswerPart, ClaimRequest, FleetLists, RelayedCall
+from .calls import (
+    AnswerPart,
+    ClaimRequest,
+    FleetLists,
+    RelayedCall,
+    StreamQuery,
+    StreamReply,
+)
 from .service import PeerStub
 from .tunnel import Tunnel, TunnelRequest, open_tunnel
 
@@ -44,6 +52,8 @@
 #: Longer than for reports: if a slow peer were skipped, two boxes could each permit a trial run
 #: of the same suspect request, and each run could end an engine.
 TRIAL_REQUEST_SECONDS = 0.5
+#: A caller waits for the answer.  Without it the stream cannot be taken up.
+FIND_STREAM_SECONDS = 0.5
 #: A call without an answer is sent again on a new connection after this long, in seconds, or
 #: after this share of its time limit if that is less.  Where it had to open the first connection,
 #: which takes some round trips, it waits longer.
@@ -198,6 +208,15 @@
         """
         await self._call(lambda stub: stub.end_trial(result), PULL_SECONDS)
 
+    async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
+        """Let the peer keep records of streams; raises one of PEER_ERRORS."""
+        message = codec.StreamRecords(records)
+        await self._call(lambda stub: stub.record_streams(message), PULL_SECONDS)
+
+    async def find_stream(self, query: StreamQuery) -> StreamReply:
+        """Return what the peer knows of a stream's origin; raises one of PEER_ERRORS."""
+        return await self._call(lambda stub: stub.find_stream(query), FIND_STREAM_SECONDS)
+
     async def open_tunnel(self, request: TunnelRequest, seconds: float) -> Tunnel:
         """Let the peer connect to an engine; raises TunnelFailed or one of PEER_ERRORS.
 
--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -12,6 +12,7 @@
 from grpclib.encoding.base import CodecBase
 from msgspec import Struct, structs
 
+from seamhold_attempts.streams import StreamRecord
 from seamhold_messages.errors import error_from
 from seamhold_messages.work import Holding
 from seamhold_quarantine import Case
@@ -183,6 +184,12 @@
     incarnation: str
 
 
+class StreamRecords(Struct, frozen=True):
+    """Records of streams that began at the sender."""
+
+    records: tuple[StreamRecord, ...]
+
+
 class CasesRequest(Struct, frozen=True):
     """Request for the peer's cases of requests that end engines."""
 
--- a/packages/peers/seamhold_peers/server.py
+++ b/packages/peers/seamhold_peers/server.py
@@ -9,13 +9,21 @@
 from grpclib.server import Server
 
 from seamhold_attempts.claims import ClaimState
+from seamhold_attempts.streams import StreamRecord
 from seamhold_messages.errors import SeamholdError
 from seamhold_messages.work import BoxRetries, Holding
 from seamhold_quarantine import Case, EndReport, Permission, TrialRequest, TrialResult
 from seamhold_settings.versions import Candidate
 
 from . import codec
-from .calls import AnswerPart, ClaimRequest, FleetLists, RelayedCall
+from .calls import (
+    AnswerPart,
+    ClaimRequest,
+    FleetLists,
+    RelayedCall,
+    StreamQuery,
+    StreamReply,
+)
 from .service import Path
 from .tunnel import Connection, TunnelMessage, TunnelRequest, serve_tunnel
 
@@ -59,6 +67,12 @@
     async def end_trial(self, result: TrialResult) -> None:
         """Record that a trial run has ended."""
 
+    async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
+        """Keep records of streams that began at a peer."""
+
+    async def find_stream(self, query: StreamQuery) -> StreamReply:
+        """Return what this box knows of a stream's origin."""
+
     def carry(self, request: TunnelRequest) -> AbstractAsyncContextManager[Connection]:
         """Connect to an engine for a peer; raises TunnelFailed."""
 
@@ -136,6 +150,10 @@
             Path.ENGINE_ENDED: Handler(self.engine_ended, one, EndReport, codec.EndReportReply),
             Path.ASK_TRIAL: Handler(self.request_trial, one, TrialRequest, Permission),
             Path.END_TRIAL: Handler(self.end_trial, one, TrialResult, codec.Acknowledgement),
+            Path.RECORD_STREAMS: Handler(
+                self.record_streams, one, codec.StreamRecords, codec.Acknowledgement
+            ),
+            Path.FIND_STREAM: Handler(self.find_stream, one, StreamQuery, StreamReply),
             Path.TUNNEL: Handler(
                 self.tunnel, Cardinality.STREAM_STREAM, TunnelMessage, TunnelMessage
             ),
@@ -208,6 +226,16 @@
         await self._handler.end_trial(await stream.recv_message())
         await stream.send_message(codec.Acknowledgement())
 
+    async def record_streams(self, stream) -> None:
+        """Keep records of a peer's streams."""
+        message = await stream.recv_message()
+        await self._handler.record_streams(message.records)
+        await stream.send_message(codec.Acknowledgement())
+
+    async def find_stream(self, stream) -> None:
+        """Send what this box knows of a stream's origin."""
+        await stream.send_message(await self._handler.find_stream(await stream.recv_message()))
+
     async def tunnel(self, stream) -> None:
         """Carry a connection to an engine for a box that cannot reach it."""
         await serve_tunnel(stream, self._handler.carry)
--- a/packages/peers/seamhold_peers/service.py
+++ b/packages/peers/seamhold_peers/service.py
@@ -9,7 +9,7 @@
 from seamhold_quarantine import EndReport, Permission, TrialRequest, TrialResult
 
 from . import codec
-from .calls import ClaimRequest, RelayedCall
+from .calls import ClaimRequest, RelayedCall, StreamQuery, StreamReply
 from .tunnel import TunnelMessage
 
 
@@ -27,6 +27,8 @@
     ENGINE_ENDED = '/seamhold.peers.v1.Peers/EngineEnded'
     ASK_TRIAL = '/seamhold.peers.v1.Peers/AskTrial'
     END_TRIAL = '/seamhold.peers.v1.Peers/EndTrial'
+    RECORD_STREAMS = '/seamhold.peers.v1.Peers/RecordStreams'
+    FIND_STREAM = '/seamhold.peers.v1.Peers/FindStream'
     TUNNEL = '/seamhold.peers.v1.Peers/Tunnel'
 
 
@@ -61,6 +63,10 @@
         self.end_trial = UnaryUnaryMethod(
             channel, Path.END_TRIAL, TrialResult, codec.Acknowledgement
         )
+        self.record_streams = UnaryUnaryMethod(
+            channel, Path.RECORD_STREAMS, codec.StreamRecords, codec.Acknowledgement
+        )
+        self.find_stream = UnaryUnaryMethod(channel, Path.FIND_STREAM, StreamQuery, StreamReply)
         message_type: Any = TunnelMessage
         self.tunnel: StreamStreamMethod = StreamStreamMethod(
             channel, Path.TUNNEL, message_type, message_type
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -10,7 +10,7 @@
 from concurrent.futures import Future
 
 from seamhold_attempts.retry import REFUSALS
-from seamhold_membership import REST_MAX_SECONDS, Digest, ServiceUse
+from seamhold_membership import REST_MAX_SECONDS, Digest, ServiceUse, ServiceVersions
 from seamhold_messages.errors import CallerLeft
 from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import BoxRetries, Decision, Queued, Refused, RetryCount
@@ -91,6 +91,8 @@
         self._store_wanted_lock = threading.Lock()
         #: Called when there is an update that peers should receive immediately.
         self.on_update: Callable[[], None] | None = None
+        #: Called with the services that got a second software version.
+        self.on_mixed_versions: Callable[[frozenset[str]], None] | None = None
         #: Called with each new list of boxes, whether from the store or from a peer.
         self.on_boxes: Callable[[list[Box]], None] | None = None
         #: Called with each check: how many engines of each service are in use.
@@ -170,6 +172,11 @@
         self._lagging = kinds
         self._update_store_wanted()
 
+    @property
+    def versions(self) -> ServiceVersions:
+        """The software versions of each service; any thread may read them."""
+        return self._router.versions
+
     def takes_work(self, engine: str, incarnation: str) -> bool:
         """Whether an engine may get work, as known now; safe to call on any thread."""
         return self._router.engines.takes_work(engine, incarnation, self._clock())
@@ -243,6 +250,8 @@
         now = self._clock()
         decisions = self._router.attempt_ended(message.call_id, message.outcome, now)
         self._router.exclude(message.call_id, message.failed_engine)
+        if message.version is not None:
+            self._router.bind_version(message.call_id, message.version)
         self._replies[message.call_id] = message.reply
         full_engine = message.failed_engine if message.outcome in REFUSALS else ''
         self._deliver(decisions + self._router.retry_call(message.call_id, now, full_engine))
@@ -292,8 +301,12 @@
     def _set_engines(self, message: SetEngines) -> None:
         if not self.engines.is_update(message.version):
             return
+        mixed_before = self.versions.mixed
         decisions = self._router.set_engines(message.engines, self._clock())
         self.engines.put(message.engines, message.version)
+        newly_mixed = self.versions.mixed - mixed_before
+        if newly_mixed and self.on_mixed_versions is not None:
+            self.on_mixed_versions(newly_mixed)
         self._notify_peers()
         self._deliver(decisions)
 
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -19,11 +19,15 @@
 
 
 class RetryCall(Query):
-    """Requests another engine for a call whose attempt failed; the reply is as for Admit."""
+    """Requests another engine for a call whose attempt failed; the reply is as for Admit.
+
+    `version` is the software version that the call is bound to, None if to none.
+    """
 
     call_id: str
     failed_engine: str
     outcome: Outcome
+    version: str | None = None
 
 
 class AnswerStarted(Struct):
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -33,6 +33,7 @@
 from ..runner import Runner
 from ..settings_task import SettingsTask
 from ..status import ExitStatus
+from ..stream_origins import StreamOrigins
 from ..trials import Trials
 from .backends import BackendConnections
 from .carrier import Carrier
@@ -119,8 +120,18 @@
         trials = Trials(
             config.box, self.decider, self.peering, self.cases, environment, self.metrics
         )
+        self.origins = StreamOrigins(
+            config.box, self.peering, self.decider.versions, clock, self.metrics
+        )
+        self.decider.on_mixed_versions = self.origins.services_mixed
         self.runner = Runner(
-            self.decider, self.backends, self.budgets, environment, self.metrics, trials
+            self.decider,
+            self.backends,
+            self.budgets,
+            environment,
+            self.metrics,
+            trials,
+            self.origins,
         )
         self.registration = Registration(
             Box(config.box, config.peer_listen, config.failure_domain),
@@ -143,6 +154,7 @@
             environment,
             self.metrics,
             first_state.available,
+            self.origins,
         )
         self.held = HeldReader(
             config.box,
@@ -266,6 +278,7 @@
                 self.settings_task,
                 self.peering.holdings,
                 Carrier(self.access, self.gate, self.metrics),
+                self.origins,
             )
         )
         self.access.start()
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -1,8 +1,10 @@
 """Turns a forwarded request into a job that can be placed and run."""
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from seamhold_attempts.retry import RetryRule
+from seamhold_attempts.streams import StreamOrigin, stream_key
 from seamhold_messages.errors import Unauthorized, UnknownRoute, UnknownService
 from seamhold_messages.work import Call, Priority, Work
 from seamhold_settings.forwarding import RouteTable, choose_service
@@ -43,13 +45,27 @@
         raise Unauthorized(
             'the key belongs to no workspace' if metadata.key else 'a key is required'
         )
-    service = choose_service(route.shares, metadata.request_id)
+    service = choose_service(route.shares, metadata.resumes or metadata.request_id)
     if service is None:
         raise UnknownService('no service of this route has a weight above 0')
     policy = table.policy(route, service, workspace or '')
     return RoutedRequest(metadata, route, policy, workspace or '', service)
 
 
+def can_be_taken_up(found: RoutedRequest) -> bool:
+    """Whether the answer is a stream that callers may take up after it broke."""
+    return found.route.streamed and found.policy.resumable
+
+
+def follow_origin(table: RouteTable, found: RoutedRequest, origin: StreamOrigin) -> RoutedRequest:
+    """Return the request for the service that began its stream, if its route still leads there."""
+    shares = found.route.shares
+    if not any(share.service == origin.service and share.weight > 0 for share in shares):
+        return found
+    policy = table.policy(found.route, origin.service, found.workspace)
+    return replace(found, service=origin.service, policy=policy)
+
+
 def prepare(
     table: RouteTable,
     dialect: CallerDialect,
@@ -57,8 +73,12 @@
     head: RequestHead,
     body: bytes,
     now: float,
+    version: str | None = None,
 ) -> Job:
-    """Return the job of a request that was completely read at `now`, in seconds."""
+    """Return the job of a request that was completely read at `now`, in seconds.
+
+    `version` is the software version that it is bound to, None if to none.
+    """
     metadata, policy, route = found.metadata, found.policy, found.route
     headers = end_to_end(head.headers, dialect.never_passed_on())
     urgency = _urgency(table.workspace_priority(found.workspace), policy.priority)
@@ -85,6 +105,7 @@
         Priority(min(policy.priority, PRIORITY_MAX)),
         sticky=shared is not None,
         objective=policy.objective,
+        version=version,
     )
     repeatable = policy.resumable if route.streamed else policy.repeatable
     rule = RetryRule(repeatable, policy.retries)
@@ -96,9 +117,19 @@
         route.streamed,
         shared_tokens(metadata.prompt),
         metadata.resumes,
+        _stream_key(found, head.host),
+        now + remaining,
     )
 
 
+def _stream_key(found: RoutedRequest, host: str) -> str:
+    metadata = found.metadata
+    if not can_be_taken_up(found):
+        return ''
+    begun_as = metadata.resumes if metadata.resume_after else metadata.request_id
+    return stream_key(found.workspace, host, begun_as) if begun_as else ''
+
+
 def shared_part(prompt: tuple[PromptPart, ...]) -> PromptPart | None:
     """Return the last part that other requests may share; it decides the placement.
 
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -33,8 +33,9 @@
 from ..ports import Answer, CallerDialect
 from ..problems import CONTENT_TYPE, problem
 from ..runner import Runner
+from ..stream_origins import StreamOrigins
 from .caller_watch import CallerWatch
-from .calls import find_route, prepare
+from .calls import RoutedRequest, can_be_taken_up, find_route, follow_origin, prepare
 from .heads import HOP_BY_HOP, RequestHead, StrictHeaderReader, read_head
 from .thread_pool_grower import STARTING_THREADS, ThreadPoolGrower
 
@@ -56,6 +57,7 @@
         environment: Environment,
         metrics: Metrics,
         has_state: Callable[[], bool],
+        origins: StreamOrigins,
     ):
         self._dialect = dialect
         self._runner = runner
@@ -63,6 +65,7 @@
         self._environment = environment
         self._metrics = metrics
         self._has_state = has_state
+        self._origins = origins
         self._log = logger('entry')
         self.watch = CallerWatch()
         #: Replaced as a whole when a new settings tree becomes active.
@@ -101,7 +104,7 @@
             body = self._read_body(exchange.request, head)
             exchange.body_read = True
             now = self._environment.monotonic()
-            job = prepare(table, self._dialect, found, head, body, now)
+            job = self._prepare(table, found, head, body, now)
             self._run(exchange, job)
         except SeamholdError as error:
             self._refuse(exchange, job, error, started_at)
@@ -111,6 +114,19 @@
         else:
             self._record_end(exchange, job, started_at)
 
+    def _prepare(
+        self, table: RouteTable, found: RoutedRequest, head: RequestHead, body: bytes, now: float
+    ) -> Job:
+        """Return the job of a request, bound to the origin of the stream that it takes up."""
+        metadata = found.metadata
+        version = None
+        if metadata.resume_after and can_be_taken_up(found):
+            origin = self._origins.find(found.workspace, head.host, metadata.resumes, found.service)
+            if origin is not None:
+                found = follow_origin(table, found, origin)
+                version = origin.version
+        return prepare(table, self._dialect, found, head, body, now, version)
+
     def _request_id(self, request: HTTPRequest) -> str:
         """Return the id of a request that is refused unread, '' if it cannot be read."""
         try:
--- a/packages/router/seamhold/forwarding/peer_handler.py
+++ b/packages/router/seamhold/forwarding/peer_handler.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from seamhold_attempts.claims import ClaimState
+from seamhold_attempts.streams import StreamRecord
 from seamhold_messages.errors import ClaimsUnavailable, TicketUnknown
 from seamhold_messages.work import BoxRetries, Holding
 from seamhold_peers import (
@@ -15,6 +16,8 @@
     ClaimRequest,
     FleetLists,
     RelayedCall,
+    StreamQuery,
+    StreamReply,
     TunnelRequest,
 )
 from seamhold_peers.tunnel import Connection
@@ -25,6 +28,7 @@
 from ..decisions import GetLearnedHoldings, GetLists, GetRetriesBefore
 from ..holdings_pull import HoldingsPull
 from ..settings_task import GetNewerSettings, SettingsTask
+from ..stream_origins import StreamOrigins
 from .carrier import Carrier
 
 
@@ -40,8 +44,10 @@
         settings_task: SettingsTask,
         holdings: HoldingsPull,
         carrier: Carrier,
+        origins: StreamOrigins,
     ):
         super().__init__(decider)
+        self._origins = origins
         self._carrier = carrier
         self._settings_task = settings_task
         self._holdings = holdings
@@ -68,6 +74,14 @@
         """Connect to an engine for a peer; raises TunnelFailed."""
         return self._carrier.connect(request)
 
+    async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
+        """Keep records of streams that began at a peer."""
+        self._origins.keep(records)
+
+    async def find_stream(self, query: StreamQuery) -> StreamReply:
+        """Return what this box knows of a stream's origin."""
+        return self._origins.reply(query)
+
     async def claim(self, request: ClaimRequest) -> ClaimState:
         """Refuse: a forwarding box stores no claims."""
         raise ClaimsUnavailable('this box stores no claims')
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -74,6 +74,12 @@
     streamed: bool = False
     shared_tokens: int = 0
     resumes: str = ''
+    #: The key under which the origin of this stream is recorded, '' if it cannot be taken up.
+    stream_key: str = ''
+    #: When the caller stops waiting, on the box's clock; later than the call's deadline if the
+    #: route limits that further.
+    caller_waits_until: float = 0.0
+    origin_recorded: bool = False
     cancellation: Cancellation = field(default_factory=Cancellation)
     #: Attempts that reached a backend server, and connection attempts that none answered.
     sent: int = 0
--- a/packages/router/seamhold/peer_handler.py
+++ b/packages/router/seamhold/peer_handler.py
@@ -9,12 +9,15 @@
 from msgspec.structs import replace
 
 from seamhold_attempts.claims import ClaimState
+from seamhold_attempts.streams import StreamRecord
 from seamhold_messages.work import BoxRetries, Holding
 from seamhold_peers import (
     AnswerPart,
     ClaimRequest,
     FleetLists,
     RelayedCall,
+    StreamQuery,
+    StreamReply,
     TunnelFailed,
     TunnelReply,
     TunnelRequest,
@@ -80,6 +83,13 @@
         raise TunnelFailed(TunnelReply('this box carries no connections'))
         yield
 
+    async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
+        """Keep nothing: callers of this dialect cannot take up a stream."""
+
+    async def find_stream(self, query: StreamQuery) -> StreamReply:
+        """Return that nothing is known of any stream."""
+        return StreamReply()
+
     async def claim(self, request: ClaimRequest) -> ClaimState:
         """Write a claim for a peer."""
         return await asyncio.wrap_future(self._claims.query(AcquireClaim(request)))
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 import threading
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from concurrent.futures import Future
 
 from seamhold_membership import ByteBudget, Digest
@@ -136,6 +136,22 @@
             client = self.submit(self._connect_other(box)).result(STOP_SECONDS)
         return client
 
+    async def connect_to(self, box: str) -> PeerClient | None:
+        """Return the client of a listed box as `client` does; called on the loop."""
+        client = self._clients.get(box) or self._extra_clients.get(box)
+        if client is None and box in self._addresses:
+            client = await self._connect_other(box)
+        return client
+
+    def call_soon(self, function: Callable[..., None], *arguments: object) -> None:
+        """Call a function on the loop; called from other threads."""
+        if not self.loop.is_closed():
+            self.loop.call_soon_threadsafe(function, *arguments)
+
+    def start_task(self, work: Coroutine) -> None:
+        """Run a coroutine in the background; called on the loop."""
+        self._background.start(work)
+
     def live_clients(self) -> dict[str, PeerClient]:
         """Return the clients of the neighbours that are live and not stopping."""
         live = set(self.roster.live_boxes)
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -46,6 +46,7 @@
     OpenAnswer,
     StreamCheck,
 )
+from .stream_origins import StreamOrigins
 from .trials import TRIAL_WAIT_SECONDS, Trials
 
 #: Time for the decider to reply after a call's deadline, in seconds.
@@ -69,9 +70,11 @@
         environment: Environment,
         metrics: Metrics,
         trials: Trials,
+        origins: StreamOrigins | None = None,
     ):
         self._decider = decider
         self._trials = trials
+        self._origins = origins
         self._engines = engines
         self._budgets = budgets
         self._environment = environment
@@ -248,7 +251,7 @@
             outcome=failure.outcome,
             code=failure.error.code,
         )
-        retry = RetryCall(job.call.id, placed.engine, failure.outcome)
+        retry = RetryCall(job.call.id, placed.engine, failure.outcome, job.call.version)
         next_placed = self._await_placement(job, self._decider.query(retry))
         self._check_deadline(job)
         try:
@@ -321,7 +324,9 @@
         try:
             while True:
                 try:
-                    yield from self._events(watch, answer)
+                    for events in self._events(watch, answer):
+                        self._bind(job, placed)
+                        yield events
                     outcome = Outcome.DONE
                     return
                 except AttemptFailed as failure:
@@ -337,6 +342,14 @@
             answer.close()
             self._finish(job, outcome)
 
+    def _bind(self, job: Job, placed: Placed) -> None:
+        """Bind a stream to the software version that sends its first events."""
+        if job.call.version is None:
+            job.call = replace(job.call, version=placed.version)
+        if job.stream_key and not job.origin_recorded and self._origins is not None:
+            job.origin_recorded = True
+            self._origins.record(job, placed.version)
+
     def _resume(self, job: Job, placed: Placed, watch: StreamCheck) -> OpenAnswer:
         """Open the remainder of the stream at another engine."""
         watch.restart()
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -8,7 +8,13 @@
 
 from seamhold_attempts.retry import Outcome
 from seamhold_membership import ServiceUse
-from seamhold_messages.errors import EnginesResting, NoEngine, SeamholdError
+from seamhold_messages.errors import (
+    DeadlinePassed,
+    EnginesResting,
+    FleetFull,
+    NoEngine,
+    SeamholdError,
+)
 from seamhold_messages.fleet import Phase
 from seamhold_messages.hashing import HASH32_SPAN, hash32
 from seamhold_messages.work import Call, Decision, Placed, Priority, Queued, Refused
@@ -100,10 +106,12 @@
         service = self._service(call.service)
         if not service.any_engine(now) and not self._may_wait_for_rest(call, now):
             raise self._no_engine(call, 'this service has no live engine', now)
+        if call.version is not None and not service.any_engine(now, version=call.version):
+            raise self._no_version(call)
         self._state.limits.admit(call.workspace, call.work, now)
         self._active[call.id] = _ActiveCall(call)
         self._active[call.id].patience_ends = now + service.plan.patience
-        if len(service.queue):
+        if len(service.queue) and call.version is None:
             return self._enqueue(service, call, now)
         return self._place_or_wait(service, call, now)
 
@@ -124,6 +132,11 @@
             'all engines of this service rest', left + RETURN_SPREAD_SECONDS * place
         )
 
+    @staticmethod
+    def _no_version(call: Call) -> SeamholdError:
+        detail = f'no live engine of this service has software version {call.version}'
+        return NoEngine(detail, NO_ENGINE_RETRY_SECONDS)
+
     def _place_or_wait(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
         """Place the call now, or let it wait for the engine that holds its cache or for any."""
         placed = service.place(call, now)
@@ -136,6 +149,8 @@
         return [self._start(placed, call, now)]
 
     def _enqueue(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
+        if call.version is not None:
+            return self._wait_for_version(service, call)
         workspace = self._tree.workspaces.get(call.workspace)
         weight = workspace.weight if workspace else 1.0
         refused = service.queue.offer(call, now, weight)
@@ -145,6 +160,15 @@
         others = [refusal for refusal in refused if refusal.call_id != call.id]
         return [*(own or [Queued(call.id)]), *others]
 
+    def _wait_for_version(self, service: ServiceRouter, call: Call) -> list[Decision]:
+        """Let a call wait apart from the queue, where it would hold up calls of any version."""
+        if len(service.waiting_for_version) >= service.queue.size:
+            self._forget(call.id)
+            detail = f'{service.queue.size} calls already wait for engines of one version'
+            return [Refused(call.id, FleetFull.code, detail, NO_ENGINE_RETRY_SECONDS)]
+        service.waiting_for_version.append(call.id)
+        return [Queued(call.id)]
+
     def _service(self, name: str) -> ServiceRouter:
         service = self._services.get(name)
         if service is None:
@@ -215,7 +239,7 @@
                 active.call, 'this service has no other engine for the call', now
             )
             return self._count([Refused(call_id, error.code, error.detail, error.retry_after)])
-        if not service.any_engine(now, active.call.excluded):
+        if not service.any_engine(now, active.call.excluded, active.call.version):
             left = active.call.excluded - {full_engine}
             active.call = replace(active.call, excluded=left)
             service.record_full(full_engine, now)
@@ -228,6 +252,12 @@
             excluded = active.call.excluded | {engine}
             active.call = replace(active.call, excluded=excluded, hint='')
 
+    def bind_version(self, call_id: str, version: str) -> None:
+        """Allow further attempts of the call only at engines of one software version."""
+        active = self._active.get(call_id)
+        if active is not None:
+            active.call = replace(active.call, version=version)
+
     def close(self, call_id: str, now: float) -> list[Decision]:
         """End a call: it is over, or its caller left while it waited."""
         active = self._active.get(call_id)
@@ -250,7 +280,7 @@
         """Return when waiting calls must be checked next, infinity if none waits."""
         due = math.inf
         for service in self._services.values():
-            if len(service.queue):
+            if len(service.queue) or service.waiting_for_version:
                 due = min(due, now + QUEUE_CHECK_SECONDS)
             for call_id in service.waiting_for_holder:
                 active = self._active.get(call_id)
@@ -269,6 +299,7 @@
     def _drain_service(self, name: str, now: float) -> list[Decision]:
         service = self._services[name]
         decisions = self._drain_waiting_for_holder(service, now)
+        decisions += self._drain_waiting_for_version(service, now)
         if len(service.queue):
             decisions += self._drain_slot_queue(service, now)
         return self._count(decisions)
@@ -283,6 +314,27 @@
                 decisions += self._place_or_wait(service, active.call, now)
         return [decision for decision in decisions if not isinstance(decision, Queued)]
 
+    def _drain_waiting_for_version(self, service: ServiceRouter, now: float) -> list[Decision]:
+        """Place the calls whose version has room, and refuse those that it cannot serve."""
+        waiting, service.waiting_for_version = service.waiting_for_version, []
+        decisions: list[Decision] = []
+        for call_id in waiting:
+            active = self._active.get(call_id)
+            if active is not None:
+                decisions += self._place_or_refuse(service, active.call, now)
+        return [decision for decision in decisions if not isinstance(decision, Queued)]
+
+    def _place_or_refuse(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
+        error: SeamholdError | None = None
+        if now >= call.deadline:
+            error = DeadlinePassed('the deadline passed while the call waited for its version')
+        elif not service.any_engine(now, call.excluded, call.version):
+            error = self._no_version(call)
+        if error is None:
+            return self._place_or_wait(service, call, now)
+        self._forget(call.id)
+        return [Refused(call.id, error.code, error.detail, error.retry_after)]
+
     def _drain_slot_queue(self, service: ServiceRouter, now: float) -> list[Decision]:
         """Place calls that wait for any slot, in queue order."""
         decisions: list[Decision] = list(service.queue.expire(now))
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -13,7 +13,15 @@
 
 from seamhold_attempts.retry import Outcome
 from seamhold_limits import WorkspaceLimits
-from seamhold_membership import BoxView, Digest, EngineView, Event, EventKind, ServiceUse
+from seamhold_membership import (
+    BoxView,
+    Digest,
+    EngineView,
+    Event,
+    EventKind,
+    ServiceUse,
+    ServiceVersions,
+)
 from seamhold_messages.fleet import Box, Engine, Evacuation, Phase
 from seamhold_messages.hashing import hash64
 from seamhold_messages.work import Call, Decision, LoadReading, RetryCount
@@ -68,6 +76,7 @@
         self._store_access = StoreAccess()
         self.tree = Tree()
         self.engines = EngineView()
+        self.versions = ServiceVersions()
         self.health = EngineHealth(self.engines)
         self.boxes = BoxView(box)
         self.loads = loads or LoadTable()
@@ -111,6 +120,7 @@
         """Apply the platform's list of engines; return decisions on waiting calls."""
         before = self.engines.phases(now)
         self.engines.set_list(engines, now)
+        self.versions.set_list(engines, now)
         self.beliefs += phase_changes(before, self.engines.phases(now))
         return self._calls.drain(now)
 
@@ -236,6 +246,10 @@
         """Exclude `engine` from further attempts of the call."""
         self._calls.exclude(call_id, engine)
 
+    def bind_version(self, call_id: str, version: str) -> None:
+        """Allow further attempts of the call only at engines of one software version."""
+        self._calls.bind_version(call_id, version)
+
     def close(self, call_id: str, now: float) -> list[Decision]:
         """End a call: it is over, or its caller left while it waited."""
         return self._calls.close(call_id, now)
@@ -254,6 +268,7 @@
         if now >= self._forget_cases_at:
             self._forget_cases_at = now + FORGET_CASES_SECONDS
             self.quarantine.forget(now)
+            self.versions.forget(now)
         self.exchange.forget_silent(now)
         self._share_limits(now)
         self._check_outage(now)
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -1,6 +1,6 @@
 """Placement of one service's calls on one box."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from seamhold_limits import WaitQueue
 from seamhold_membership import EngineView, Serving
@@ -117,6 +117,13 @@
         return Candidate(name, load, engine.slots, engine.weight, holds, local, unreported, own)
 
 
+def _other_versions(engines: Mapping[str, Engine], version: str | None) -> frozenset[str]:
+    """Return the engines whose software version is not `version`, none if that is None."""
+    if version is None:
+        return frozenset()
+    return frozenset(name for name, engine in engines.items() if engine.version != version)
+
+
 def hint_for(engine: str) -> str:
     """Return the hint that a caller sends back to have a chat placed at `engine` again."""
     return f'{hash32(engine):08x}'
@@ -140,6 +147,8 @@
         self.queue = WaitQueue(self.plan.queue_calls)
         #: Ids of calls that wait for the engine that holds their cache.
         self.waiting_for_holder: list[str] = []
+        #: Ids of calls that wait for room at the engines of their software version.
+        self.waiting_for_version: list[str] = []
         self._engines = engines
         self._loads = loads
         self._holders = holders
@@ -163,9 +172,12 @@
         self.plan = plan
         self.queue.size = plan.queue_calls
 
-    def any_engine(self, now: float, excluded: frozenset[str] = frozenset()) -> bool:
+    def any_engine(
+        self, now: float, excluded: frozenset[str] = frozenset(), version: str | None = None
+    ) -> bool:
         """Return whether any engine that is not excluded may get work of this box."""
         engines = self._engines.serving(self.name, now).engines
+        excluded |= _other_versions(engines, version)
         if not self._engines.is_brittle(self.name, now):
             return any(name not in excluded for name in engines)
         return any(
@@ -178,9 +190,10 @@
         Counts `full_engine`, which refused the call as full, although the call excludes it;
         '' for none.
         """
-        if self.any_engine(now, call.excluded):
+        if self.any_engine(now, call.excluded, call.version):
             return True
-        return bool(full_engine) and self.any_engine(now, call.excluded - {full_engine})
+        without_full = call.excluded - {full_engine}
+        return bool(full_engine) and self.any_engine(now, without_full, call.version)
 
     def record_full(self, engine: str, now: float) -> None:
         """Record that an engine refused a call because all its slots are taken."""
@@ -249,10 +262,11 @@
         The caller must add the call to the load table.
         """
         serving = self._refresh(now)
+        other_versions = _other_versions(serving.engines, call.version)
         holders = self._holders.engines_holding(call.chat, now) if call.sticky else []
         candidates = RankedEngines(
             call.chat,
-            call.excluded | self._throttled(serving, now),
+            call.excluded | other_versions | self._throttled(serving, now),
             self._ranking,
             serving,
             self._loads,
@@ -275,6 +289,9 @@
             choice = choose_least_loaded(candidates, call.work, self._local)
         if choice is None:
             return None
+        if call.sticky and other_versions and not choice.in_bound:
+            # The engines of the other versions may be idle, so the fleet need not be full.
+            return None
         engine = serving.engines[choice.name]
         spilled = call.sticky and choice.rank != (hint or 0) and choice.name not in holders
         source = None
