Engine ends add up by prompt part, not only by whole request

Cause: blame by equality of whole requests.

Change: one mechanism. A request has features: the whole of it, and each prompt part but the last. An end counts against every feature of the call that did not succeed at this box within ten seconds; the rest is the quarantine as it was (suspect after two ends, alone on trial, refused after an end on trial), by the feature with the most ends. Where several features of a run on trial have as many, its end proves them together: only requests that have all of them are refused, one without goes on trial and clears itself. Ends that a proven feature with more ends explains do not count. A success of any run clears the suspect features it has. All features of a workspace have the same two owners, so an end is still one message to each. The store and the status page show the part.

Why it holds: the part is in every such request and never in one that succeeds, so it always has the most ends; whatever else these requests share is cleared by the sound ones.

Ruled out: refusing at the second end (innocent parts that die with the culprit's engines would be refused for ten minutes); proof without a trial (a failure domain that dies looks the same).

--- a/packages/peers/seamhold_peers/__init__.py
+++ b/packages/peers/seamhold_peers/__init__.py
@@ -11,7 +11,7 @@
     StreamReply,
 )
 from .client import PeerClient
-from .codec import CasesPage, EndReportReply
+from .codec import CasesPage, EndReportsReply
 from .datagrams import DigestPort, EncodedDigest
 from .digest_codec import MESSAGE_OVERHEAD_BYTES, DigestReader, encode_digest
 from .names import NameTable
@@ -28,7 +28,7 @@
     'DigestPort',
     'DigestReader',
     'EncodedDigest',
-    'EndReportReply',
+    'EndReportsReply',
     'FleetLists',
     'NameTable',
     'PeerClient',
--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -193,9 +193,10 @@
         page = codec.CasesPage(cases)
         await self._call(lambda stub: stub.send_cases(page), REPORT_SECONDS)
 
-    async def engine_ended(self, report: EndReport) -> codec.EndReportReply:
+    async def engine_ended(self, reports: tuple[EndReport, ...]) -> codec.EndReportsReply:
         """Report that an engine ended and return the peer's state; raises one of PEER_ERRORS."""
-        return await self._call(lambda stub: stub.engine_ended(report), REPORT_SECONDS)
+        message = codec.EndReports(reports)
+        return await self._call(lambda stub: stub.engine_ended(message), REPORT_SECONDS)
 
     async def request_trial(self, trial: TrialRequest) -> Permission:
         """Ask whether a suspect request may run now; raises one of PEER_ERRORS."""
--- a/packages/peers/seamhold_peers/codec.py
+++ b/packages/peers/seamhold_peers/codec.py
@@ -15,7 +15,7 @@
 from seamhold_attempts.streams import StreamRecord
 from seamhold_messages.errors import error_from
 from seamhold_messages.work import Holding
-from seamhold_quarantine import Case
+from seamhold_quarantine import Case, EndReport
 from seamhold_settings.versions import Candidate
 
 from .calls import AnswerEnd, AnswerHead, AnswerPart, FleetLists
@@ -167,14 +167,20 @@
     state: str
 
 
-class EndReportReply(Struct, frozen=True):
-    """Reply to an EndReport: `ends` is the number of engine ends the peer knows of.
+class EndReports(Struct, frozen=True):
+    """Reports that one engine ended, one for each feature of the request that it ran."""
 
-    `case` is the request's case to be shared with all boxes, None if there is none.
+    reports: tuple[EndReport, ...]
+
+
+class EndReportsReply(Struct, frozen=True):
+    """Reply to EndReports: the most engine ends that the peer knows of one of the features.
+
+    `cases` are those cases of the features that are to be shared with all boxes.
     """
 
     ends: int
-    case: Case | None = None
+    cases: tuple[Case, ...] = ()
 
 
 class RetriesRequest(Struct, frozen=True):
--- a/packages/peers/seamhold_peers/server.py
+++ b/packages/peers/seamhold_peers/server.py
@@ -58,7 +58,7 @@
     async def receive_cases(self, cases: tuple[Case, ...]) -> None:
         """Apply cases of requests that end engines, received from a peer."""
 
-    async def engine_ended(self, report: EndReport) -> codec.EndReportReply:
+    async def engine_ended(self, reports: tuple[EndReport, ...]) -> codec.EndReportsReply:
         """Record that an engine ended under a request; return this box's state of it."""
 
     async def request_trial(self, trial: TrialRequest) -> Permission:
@@ -147,7 +147,9 @@
             Path.TELL_CASES: Handler(
                 self.receive_cases, one, codec.CasesPage, codec.Acknowledgement
             ),
-            Path.ENGINE_ENDED: Handler(self.engine_ended, one, EndReport, codec.EndReportReply),
+            Path.ENGINE_ENDED: Handler(
+                self.engine_ended, one, codec.EndReports, codec.EndReportsReply
+            ),
             Path.ASK_TRIAL: Handler(self.request_trial, one, TrialRequest, Permission),
             Path.END_TRIAL: Handler(self.end_trial, one, TrialResult, codec.Acknowledgement),
             Path.RECORD_STREAMS: Handler(
@@ -214,8 +216,12 @@
 
     async def engine_ended(self, stream) -> None:
         """Combine a peer's report of an ended engine with those of other boxes."""
-        report = await stream.recv_message()
-        await stream.send_message(await self._handler.engine_ended(report))
+        message = await stream.recv_message()
+        reply = await self._handler.engine_ended(message.reports)
+        await stream.send_message(self._encodable_reply(reply))
+
+    def _encodable_reply(self, reply: codec.EndReportsReply) -> codec.EndReportsReply:
+        return codec.EndReportsReply(reply.ends, self._without_unencodable(reply.cases))
 
     async def request_trial(self, stream) -> None:
         """Decide whether a suspect request may run."""
--- a/packages/peers/seamhold_peers/service.py
+++ b/packages/peers/seamhold_peers/service.py
@@ -6,7 +6,7 @@
 from grpclib.client import Channel, StreamStreamMethod, UnaryStreamMethod, UnaryUnaryMethod
 
 from seamhold_messages.work import BoxRetries
-from seamhold_quarantine import EndReport, Permission, TrialRequest, TrialResult
+from seamhold_quarantine import Permission, TrialRequest, TrialResult
 
 from . import codec
 from .calls import ClaimRequest, RelayedCall, StreamQuery, StreamReply
@@ -24,7 +24,7 @@
     CLAIM = '/seamhold.peers.v1.Peers/Claim'
     PULL_CASES = '/seamhold.peers.v1.Peers/PullCases'
     TELL_CASES = '/seamhold.peers.v1.Peers/TellCases'
-    ENGINE_ENDED = '/seamhold.peers.v1.Peers/EngineEnded'
+    ENGINE_ENDED = '/seamhold.peers.v1.Peers/ReportEnds'
     ASK_TRIAL = '/seamhold.peers.v1.Peers/AskTrial'
     END_TRIAL = '/seamhold.peers.v1.Peers/EndTrial'
     RECORD_STREAMS = '/seamhold.peers.v1.Peers/RecordStreams'
@@ -57,7 +57,7 @@
             channel, Path.TELL_CASES, codec.CasesPage, codec.Acknowledgement
         )
         self.engine_ended = UnaryUnaryMethod(
-            channel, Path.ENGINE_ENDED, EndReport, codec.EndReportReply
+            channel, Path.ENGINE_ENDED, codec.EndReports, codec.EndReportsReply
         )
         self.request_trial = UnaryUnaryMethod(channel, Path.ASK_TRIAL, TrialRequest, Permission)
         self.end_trial = UnaryUnaryMethod(
--- a/packages/quarantine/seamhold_quarantine/__init__.py
+++ b/packages/quarantine/seamhold_quarantine/__init__.py
@@ -1,7 +1,7 @@
 """Decides whether a request may run, by the engines that ended under it."""
 
 from .case import QUARANTINE_ENDS, SUSPECT_ENDS, is_expired
-from .identity import RequestIdentity
+from .identity import Feature, RequestIdentity
 from .messages import (
     Case,
     EndReport,
@@ -21,6 +21,7 @@
     'Case',
     'EndReport',
     'EngineEnd',
+    'Feature',
     'Permission',
     'Quarantine',
     'RecentRuns',
--- a/packages/quarantine/seamhold_quarantine/case.py
+++ b/packages/quarantine/seamhold_quarantine/case.py
@@ -1,4 +1,4 @@
-"""One request under which engines ended: the ends on record and the refusal times."""
+"""One request or prompt part under which engines ended: the ends on record and refusal times."""
 
 import math
 from collections.abc import Mapping
@@ -30,6 +30,7 @@
 
     at: float
     on_trial: bool
+    partners: frozenset[str] = frozenset()
 
 
 class CaseState(Struct):
@@ -44,22 +45,27 @@
     ends: dict[int, ObservedEnd] = field(default_factory=dict)
     clears: int = 0
     cleared_at: float = -math.inf
+    part: str = ''
 
     @classmethod
     def of(cls, message: Case | EndReport) -> 'CaseState':
         """Create a state without ends for the request of `message`."""
-        return cls(message.request, message.scope, message.workspace)
+        return cls(message.request, message.scope, message.workspace, part=message.part)
 
     def add(self, end: EngineEnd, now: float) -> bool:
         """Add an engine's end; False if it adds nothing new."""
         observed = self.ends.get(end.engine)
         if observed is None:
-            self.ends[end.engine] = ObservedEnd(now - end.age, end.on_trial)
+            self.ends[end.engine] = ObservedEnd(now - end.age, end.on_trial, end.partners)
             return True
-        if end.on_trial and not observed.on_trial:
-            observed.on_trial = True
-            return True
-        return False
+        if not end.on_trial:
+            return False
+        # The smaller set says more; of two runs on trial, both had what they have in common.
+        partners = observed.partners & end.partners if observed.on_trial else end.partners
+        if observed.on_trial and partners == observed.partners:
+            return False
+        observed.on_trial, observed.partners = True, partners
+        return True
 
     def clear(self, now: float) -> None:
         """Record that the request ran successfully or that an operator lifted the case."""
@@ -77,9 +83,20 @@
 
     def to_case(self, now: float) -> Case:
         """Return the case as boxes send it, with ages instead of times."""
-        ends = (EngineEnd(key, end.on_trial, now - end.at) for key, end in self.ends.items())
+        ends = (
+            EngineEnd(key, end.on_trial, now - end.at, end.partners)
+            for key, end in self.ends.items()
+        )
         cleared_age = now - self.cleared_at if self.clears else None
-        return Case(self.request, self.scope, self.workspace, tuple(ends), self.clears, cleared_age)
+        return Case(
+            self.request,
+            self.scope,
+            self.workspace,
+            tuple(ends),
+            self.clears,
+            cleared_age,
+            self.part,
+        )
 
     def counted_ends(self, explained: Mapping[int, int]) -> dict[int, ObservedEnd]:
         """Return the ends since the last clear that are not `explained` by another request.
@@ -106,7 +123,10 @@
     @property
     def fingerprint(self) -> int:
         """A hash of the ends and clears, equal on all boxes that know the same."""
-        ends = ','.join(f'{key}:{end.on_trial:d}' for key, end in sorted(self.ends.items()))
+        ends = ','.join(
+            f'{key}:{end.on_trial:d}{sorted(end.partners)}'
+            for key, end in sorted(self.ends.items())
+        )
         return hash64(f'{self.request};{ends};{self.clears}')
 
 
--- a/packages/quarantine/seamhold_quarantine/quarantine.py
+++ b/packages/quarantine/seamhold_quarantine/quarantine.py
@@ -5,11 +5,17 @@
 poison messages in the same way.  Outside a trial an end proves nothing, because all calls on an
 engine end with it.  A successful run clears the request.
 
-Any box can serve the others' queries about a request; the box that ranks first for it does.
+Requests that differ may have a prompt part in common, and that may be the cause.  So ends count
+against each feature of a request, the whole of it and its parts.  A part that sound requests
+share, too, is cleared by their success.  A trial is decided by the feature with the most ends;
+where several have as many, an end in it is proof only against requests that have all of them.
+
+Any box can serve the others' queries about a request; the box that ranks first for its workspace
+does.
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from msgspec import Struct
 
@@ -102,15 +108,21 @@
 
     # Queries.
 
-    def standing(self, request: str, now: float) -> Standing:
-        """Return how a request may run."""
+    def standing(
+        self, request: str, now: float, features: Collection[str] | None = None
+    ) -> Standing:
+        """Return how a request may run, by one feature of it.
+
+        `features` are the digests of all its features; without them every partner counts as
+        present.
+        """
         case = self._cases.get(request)
         if case is None:
             return Standing.CLEAR
         counted = self._counted_ends(case)
         if len(counted) < SUSPECT_ENDS:
             return Standing.CLEAR
-        if _is_proven(counted) and now < _rests_until(counted):
+        if _is_proven(counted, features) and now < _rests_until(counted):
             return Standing.QUARANTINED
         return Standing.SUSPECT
 
@@ -120,6 +132,23 @@
             return 0.0
         return _rests_until(self._counted_ends(self._cases[request])) - now
 
+    def most_suspect(self, features: Collection[str], now: float) -> tuple[str, ...]:
+        """Return the features of a request that are to blame first, the deciding one first.
+
+        These are the quarantined ones if there are any, else the suspects with the most ends.
+        """
+        standings = {name: self.standing(name, now, features) for name in features}
+        refused = [name for name, one in standings.items() if one is Standing.QUARANTINED]
+        if refused:
+            return tuple(sorted(refused))
+        ends = {
+            name: len(self._counted_ends(self._cases[name]))
+            for name, one in standings.items()
+            if one is Standing.SUSPECT
+        }
+        most = max(ends.values(), default=0)
+        return tuple(sorted(name for name, count in ends.items() if count == most))
+
     def recently_ended(self, request: str, now: float) -> frozenset[int]:
         """Return the keys of engine starts that ended under a request and may still be away."""
         case = self._cases.get(request)
@@ -130,7 +159,7 @@
 
     def request_trial(self, query: TrialRequest, now: float) -> Permission:
         """Return whether a run may begin now; a trial is recorded until it ends or expires."""
-        standing = self.standing(query.request, now)
+        standing = self.standing(query.request, now, query.features or None)
         if standing is Standing.CLEAR:
             return Permission(Verdict.RUN)
         if standing is Standing.QUARANTINED:
@@ -150,7 +179,8 @@
         trial = self._trials.get(result.request)
         if trial is not None and trial.run == result.run:
             del self._trials[result.request]
-        if result.well and self.standing(result.request, now) is Standing.SUSPECT:
+        standing = self.standing(result.request, now, result.features or None)
+        if result.well and standing is Standing.SUSPECT:
             self.lift(result.request, now)
 
     # Cases for peers and the store.
@@ -224,8 +254,11 @@
     return explained
 
 
-def _is_proven(counted: dict[int, ObservedEnd]) -> bool:
-    on_trial = any(end.on_trial for end in counted.values())
+def _is_proven(counted: dict[int, ObservedEnd], features: Collection[str] | None = None) -> bool:
+    on_trial = any(
+        end.on_trial and (features is None or end.partners.issubset(features))
+        for end in counted.values()
+    )
     return on_trial and len(counted) >= QUARANTINE_ENDS
 
 
--- a/packages/router/seamhold/case_answers.py
+++ b/packages/router/seamhold/case_answers.py
@@ -2,12 +2,12 @@
 
 import asyncio
 
-from seamhold_peers import CasesPage, EndReportReply
+from seamhold_peers import CasesPage, EndReportsReply
 from seamhold_quarantine import Case, EndReport, Permission, TrialRequest, TrialResult
 
 from .background import result_of
 from .decider import Decider
-from .decisions import EndTrial, GetCases, ReceiveCases, ReceiveEnd, RequestTrial
+from .decisions import EndTrial, GetCases, ReceiveCases, ReceiveEnds, RequestTrial
 
 
 class CaseAnswers:
@@ -26,9 +26,9 @@
         """Merge cases that a peer sends."""
         await result_of(self._decider.query(ReceiveCases(cases)))
 
-    async def engine_ended(self, report: EndReport) -> EndReportReply:
+    async def engine_ended(self, reports: tuple[EndReport, ...]) -> EndReportsReply:
         """Record an engine's end at a peer; return what this box knows of the request."""
-        return await asyncio.wrap_future(self._decider.query(ReceiveEnd(report)))
+        return await asyncio.wrap_future(self._decider.query(ReceiveEnds(reports)))
 
     async def request_trial(self, trial: TrialRequest) -> Permission:
         """Return whether a suspect request may run now at a peer."""
--- a/packages/router/seamhold/case_handlers.py
+++ b/packages/router/seamhold/case_handlers.py
@@ -3,13 +3,24 @@
 import threading
 from collections.abc import Callable
 
-from seamhold_peers import EndReportReply
-from seamhold_quarantine import SUSPECT_ENDS, Case, Permission, Standing, Verdict
+from msgspec.structs import replace
+
+from seamhold_messages.hashing import hash64
+from seamhold_peers import EndReportsReply
+from seamhold_quarantine import (
+    SUSPECT_ENDS,
+    Case,
+    EndReport,
+    EngineEnd,
+    Permission,
+    Standing,
+    Verdict,
+)
 from seamhold_routing import Router
 
 from .decisions import (
     CaseReport,
-    EndCounted,
+    EndsCounted,
     EndTrial,
     EngineEnded,
     GetCase,
@@ -17,7 +28,7 @@
     GetStanding,
     LiftCase,
     ReceiveCases,
-    ReceiveEnd,
+    ReceiveEnds,
     RequestTrial,
 )
 
@@ -50,7 +61,7 @@
         self.loaded.set()
         self.handlers = {
             EngineEnded: self._engine_ended,
-            ReceiveEnd: self._receive_end,
+            ReceiveEnds: self._receive_ends,
             RequestTrial: lambda message: self._quarantine.request_trial(
                 message.trial, self._clock()
             ),
@@ -78,6 +89,7 @@
         return tuple(
             CaseReport(
                 case.request,
+                case.part,
                 case.workspace,
                 quarantine.standing(case.request, now),
                 len(case.ends),
@@ -86,21 +98,43 @@
             for case in quarantine.shared_cases(now)
         )
 
-    def _engine_ended(self, message: EngineEnded) -> EndCounted:
+    def _engine_ended(self, message: EngineEnded) -> EndsCounted:
         now = self._clock()
-        report = self._router.engine_ended(message.engine, message.report, now)
+        names = frozenset(feature.digest for feature in message.features)
+        blamed = self._quarantine.most_suspect(names, now) if message.on_trial else ()
+        reports = []
+        for feature in message.features:
+            on_trial = feature.digest in blamed
+            partners = frozenset(blamed) - {feature.digest} if on_trial else frozenset()
+            end = EngineEnd(hash64(message.engine.name), on_trial, partners=partners)
+            reports.append(
+                EndReport(feature.digest, feature.scope, message.workspace, end, feature.part)
+            )
+        ended = self._router.engine_ended(message.engine, reports[0], now)
         self._notify()
-        if report is None or message.excused:
-            return EndCounted()
-        ends = self._quarantine.record_end(report, now)
-        self._publish_if_suspect(report.request, ends)
-        return EndCounted(ends, report)
-
-    def _receive_end(self, message: ReceiveEnd) -> EndReportReply:
-        request = message.report.request
-        ends = self._quarantine.record_end(message.report, self._clock())
-        self._publish_if_suspect(request, ends)
-        return EndReportReply(ends, self._quarantine.shared_case(request, self._clock()))
+        if ended is None:
+            return EndsCounted()
+        counted = tuple(
+            replace(report, end=replace(report.end, engine=ended.end.engine))
+            for report, feature in zip(reports, message.features, strict=True)
+            if report.end.on_trial or feature not in message.excused
+        )
+        return EndsCounted(self._record_ends(counted, now), counted)
+
+    def _receive_ends(self, message: ReceiveEnds) -> EndReportsReply:
+        now = self._clock()
+        ends = self._record_ends(message.reports, now)
+        cases = (self._quarantine.shared_case(one.request, now) for one in message.reports)
+        return EndReportsReply(ends, tuple(case for case in cases if case is not None))
+
+    def _record_ends(self, reports: tuple[EndReport, ...], now: float) -> int:
+        """Record an engine's end against features; return the most ends of one of them."""
+        most = 0
+        for report in reports:
+            ends = self._quarantine.record_end(report, now)
+            self._publish_if_suspect(report.request, ends)
+            most = max(most, ends)
+        return most
 
     def _publish_if_suspect(self, request: str, ends: int) -> None:
         if ends >= SUSPECT_ENDS:
@@ -115,6 +149,7 @@
         self._log.warning(
             'request.standing',
             digest=request,
+            part=case.part,
             workspace=case.workspace,
             standing=self._quarantine.standing(request, now),
             engines_ended=len(case.ends),
@@ -134,14 +169,19 @@
 
     def _standing(self, message: GetStanding) -> Permission:
         now = self._clock()
-        standing = self._quarantine.standing(message.request, now)
-        if standing is Standing.SUSPECT and not self._may_risk(message, now):
-            return Permission(Verdict.WAIT)
-        return Permission(VERDICTS[standing], self._quarantine.rest(message.request, now))
-
-    def _may_risk(self, message: GetStanding, now: float) -> bool:
-        ended = self._quarantine.recently_ended(message.request, now)
-        return self._router.may_risk_engine(message.service, ended, now)
+        blamed = self._quarantine.most_suspect(message.features, now)
+        if not blamed:
+            return Permission(Verdict.RUN)
+        request = blamed[0]
+        standing = self._quarantine.standing(request, now, message.features)
+        if standing is Standing.SUSPECT and not self._may_risk(request, message.service, now):
+            return Permission(Verdict.WAIT, request=request)
+        rest = self._quarantine.rest(request, now)
+        return Permission(VERDICTS[standing], rest, request)
+
+    def _may_risk(self, request: str, service: str, now: float) -> bool:
+        ended = self._quarantine.recently_ended(request, now)
+        return self._router.may_risk_engine(service, ended, now)
 
     def _receive_cases(self, message: ReceiveCases) -> None:
         if self._quarantine.merge(message.cases, self._clock()):
--- a/packages/router/seamhold/case_store.py
+++ b/packages/router/seamhold/case_store.py
@@ -35,6 +35,8 @@
 #: Limits of a valid stored case, far above what boxes write.
 ENDS_MAX = 10_000
 CLEARS_MAX = 2**31
+PARTNERS_MAX = 1_000
+PART_MAX_CHARS = 10_000
 #: Hexadecimal digits of a 64-bit hash.
 HASH_DIGITS = 16
 #: Delay before a failed call is retried, in seconds.
@@ -66,6 +68,7 @@
     engine: str
     on_trial: bool
     unix_time: float
+    partners: Annotated[tuple[str, ...], Meta(max_length=PARTNERS_MAX)] = ()
 
 
 class StoredCase(Struct, frozen=True):
@@ -76,15 +79,17 @@
     ends: Annotated[tuple[StoredEnd, ...], Meta(max_length=ENDS_MAX)]
     clears: Annotated[int, Meta(ge=0, le=CLEARS_MAX)] = 0
     cleared_unix_time: float | None = None
+    part: Annotated[str, Meta(max_length=PART_MAX_CHARS)] = ''
 
 
 def to_object(case: Case, unix_time: float, version: str = '') -> PlatformObject:
     """Return a case as an object of the store; `unix_time` is the current time in seconds."""
     ends = tuple(
-        StoredEnd(f'{end.engine:x}', end.on_trial, unix_time - end.age) for end in case.ends
+        StoredEnd(f'{end.engine:x}', end.on_trial, unix_time - end.age, tuple(sorted(end.partners)))
+        for end in case.ends
     )
     cleared = None if case.cleared_age is None else unix_time - case.cleared_age
-    stored = StoredCase(f'{case.scope:x}', case.workspace, ends, case.clears, cleared)
+    stored = StoredCase(f'{case.scope:x}', case.workspace, ends, case.clears, cleared, case.part)
     return PlatformObject(case.request, msgspec.to_builtins(stored), version)
 
 
@@ -94,12 +99,25 @@
         raise ValueError(f'{item.name!a} is not the digest of a request')
     stored = msgspec.convert(item.spec, StoredCase)
     ends = tuple(
-        EngineEnd(_hash_from(end.engine), end.on_trial, _age(end.unix_time, unix_time))
+        EngineEnd(
+            _hash_from(end.engine),
+            end.on_trial,
+            _age(end.unix_time, unix_time),
+            frozenset(end.partners),
+        )
         for end in stored.ends
     )
     cleared = stored.cleared_unix_time
     age = None if cleared is None else _age(cleared, unix_time)
-    return Case(item.name, _hash_from(stored.scope), stored.workspace, ends, stored.clears, age)
+    return Case(
+        item.name,
+        _hash_from(stored.scope),
+        stored.workspace,
+        ends,
+        stored.clears,
+        age,
+        stored.part,
+    )
 
 
 def _hash_from(digits: str) -> int:
@@ -305,7 +323,7 @@
         stored_case = from_object(stored, 0.0)
     except (ValueError, msgspec.ValidationError):
         return False
-    stored_ends = {(end.engine, end.on_trial) for end in stored_case.ends}
+    stored_ends = {(end.engine, end.on_trial, end.partners) for end in stored_case.ends}
     return stored_case.clears >= case.clears and all(
-        (end.engine, end.on_trial) in stored_ends for end in case.ends
+        (end.engine, end.on_trial, end.partners) in stored_ends for end in case.ends
     )
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -6,7 +6,7 @@
 from seamhold_membership import Digest
 from seamhold_messages.fleet import Box, Engine, Evacuation, Phase
 from seamhold_messages.work import Call, Holding
-from seamhold_quarantine import Case, EndReport, Standing, TrialRequest, TrialResult
+from seamhold_quarantine import Case, EndReport, Feature, Standing, TrialRequest, TrialResult
 from seamhold_settings import Tree
 
 from .tasks import Query
@@ -92,30 +92,33 @@
 
 
 class EngineEnded(Query):
-    """Reports that an engine ended under one of this box's calls; the reply is EndCounted.
+    """Reports that an engine ended under one of this box's calls; the reply is EndsCounted.
 
-    The end of an `excused` request, which succeeded shortly before, is not counted.
+    The end is counted against the request's `features` that are not `excused`, because they
+    succeeded shortly before, and against those that it was on trial for.
     """
 
     engine: Engine
-    report: EndReport
-    excused: bool = False
+    workspace: str
+    features: tuple[Feature, ...]
+    excused: tuple[Feature, ...] = ()
+    on_trial: bool = False
 
 
-class EndCounted(Struct, frozen=True):
-    """The number of engines that ended under a request, as far as this box knows.
+class EndsCounted(Struct, frozen=True):
+    """The most engines that ended under a feature of a request, as far as this box knows.
 
-    `report` is sent to the boxes that own the request; None if there is nothing to send.
+    `reports` are sent to the boxes that own the features.
     """
 
     ends: int = 0
-    report: EndReport | None = None
+    reports: tuple[EndReport, ...] = ()
 
 
-class ReceiveEnd(Query):
-    """Passes on a peer's report that an engine ended; the reply is EndReportReply."""
+class ReceiveEnds(Query):
+    """Passes on a peer's reports that an engine ended; the reply is EndReportsReply."""
 
-    report: EndReport
+    reports: tuple[EndReport, ...]
 
 
 class RequestTrial(Query):
@@ -131,9 +134,12 @@
 
 
 class GetStanding(Query):
-    """Asks for this box's own verdict on a request to a service; the reply is Permission."""
+    """Asks for this box's own verdict on a request to a service; the reply is Permission.
 
-    request: str
+    `features` are the digests of all the request's features.
+    """
+
+    features: frozenset[str]
     service: str
 
 
@@ -282,9 +288,13 @@
 
 
 class CaseReport(Struct, frozen=True):
-    """The status entry of a request under which engines ended; `rest` is in seconds."""
+    """The status entry of a request or prompt part under which engines ended.
+
+    `rest` is in seconds; `part` is '' for a request.
+    """
 
     request: str
+    part: str
     workspace: str
     standing: Standing
     engines_ended: int
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -119,6 +119,7 @@
         metadata.resumes,
         _stream_key(found, head.host),
         now + remaining,
+        shared_parts=tuple(part.id for part in metadata.prompt[:-1]),
     )
 
 
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -85,8 +85,11 @@
     sent: int = 0
     silent: int = 0
     maybe_ran: bool = False
-    #: Engines ended under this request: it runs alone, and the result is reported to peers.
-    on_trial: bool = False
+    #: The feature under which engines ended: the call runs alone, and peers learn the result.  ''
+    #: if it may run beside others.
+    tried_for: str = ''
+    #: Ids of the prompt parts that other requests may share.
+    shared_parts: tuple[str, ...] = ()
     #: Whether an engine answered the call, even with a failure.
     answered: bool = False
     attempts: list[Attempt] = field(default_factory=list)
@@ -96,5 +99,10 @@
         """The identity that this call shares with other calls of the same request."""
         request = self.request
         return RequestIdentity(
-            self.call.workspace, request.host, request.method, request.path, request.body
+            self.call.workspace,
+            request.host,
+            request.method,
+            request.path,
+            request.body,
+            self.shared_parts,
         )
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -21,7 +21,7 @@
     error_from,
 )
 from seamhold_messages.work import Placed, Refused
-from seamhold_quarantine import SUSPECT_ENDS, TrialRequest
+from seamhold_quarantine import SUSPECT_ENDS, TrialResult
 
 from .answer_reports import AnswerReports
 from .budgets import RetryBudgets
@@ -47,7 +47,7 @@
     StreamCheck,
 )
 from .stream_origins import StreamOrigins
-from .trials import TRIAL_WAIT_SECONDS, Trials
+from .trials import TRIAL_WAIT_SECONDS, TrialRun, Trials
 
 #: Time for the decider to reply after a call's deadline, in seconds.
 DECIDER_SLACK_SECONDS = 0.2
@@ -112,11 +112,11 @@
         if not self._trials.needs_permission(identity):
             return
         seconds = self._remaining(job)
-        trial = TrialRequest(identity.digest, job.call.id, seconds)
-        job.on_trial = self._trials.request_permission(
-            trial, job.call.service, min(patience, seconds), job.cancellation
+        run = TrialRun(job.call.id, job.call.service, seconds)
+        job.tried_for = self._trials.request_permission(
+            identity, run, min(patience, seconds), job.cancellation
         )
-        if job.on_trial:
+        if job.tried_for:
             # If it ends its engine, the one with the fewest calls loses the fewest.
             job.call = replace(job.call, sticky=False)
 
@@ -127,8 +127,8 @@
         copies of it.  It does not wait here: it already has a placement, and suspects must
         not keep one that other calls could use.
         """
-        if job.on_trial:
-            self._trials.check_quarantine(job.identity.digest)
+        if job.tried_for:
+            self._trials.check_quarantine(job.identity)
         else:
             self._permit(job, 0.0)
 
@@ -234,7 +234,7 @@
             ends = self._record_engine_end(job, placed, retry_allowed)
             # The call may be the cause of a second end: automatic retries would end engines
             # faster than the boxes learn of it.
-            retry_allowed = retry_allowed and not job.on_trial and ends < SUSPECT_ENDS
+            retry_allowed = retry_allowed and not job.tried_for and ends < SUSPECT_ENDS
         self._metrics.count(f'attempt_failed.{failure.error.code}')
         if not retry_allowed:
             self._decider.send(AttemptEnded(job.call.id, failure.outcome))
@@ -278,7 +278,7 @@
         self._metrics.count('engine_ended_under_call')
         attempt = job.attempts[-1]
         identity = job.identity
-        ends = self._trials.record_engine_end(identity, placed, job.on_trial, count_needed)
+        ends = self._trials.record_engine_end(identity, placed, bool(job.tried_for), count_needed)
         self._log.warning(
             'engine.ended_under_call',
             request_id=job.call.id,
@@ -287,7 +287,7 @@
             service=job.call.service,
             workspace=job.call.workspace,
             begun=attempt.answered_at is not None,
-            on_trial=job.on_trial,
+            on_trial=bool(job.tried_for),
             ends=ends,
             seconds=round(attempt.seconds, 3),
         )
@@ -384,8 +384,11 @@
 
     def _close(self, job: Job) -> None:
         self._decider.send(CallClosed(job.call.id))
-        if job.on_trial:
-            job.on_trial = False
-            self._trials.report_trial_end(job.identity.digest, job.call.id, job.answered)
+        if job.tried_for:
+            result = TrialResult(
+                job.tried_for, job.call.id, job.answered, job.identity.feature_digests
+            )
+            job.tried_for = ''
+            self._trials.report_trial_end(job.call.workspace, result)
         if job.answered:
             self._trials.record_success(job.identity)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -3,7 +3,7 @@
 import testtools
 
 from seamhold.box_client import BoxClient
-from seamhold.decisions import ReceiveEnd
+from seamhold.decisions import ReceiveEnds
 from seamhold_quarantine import EndReport, EngineEnd
 
 from .utils.stack import Stack
@@ -24,7 +24,7 @@
     def test_lift_clears_a_request_that_ended_engines(self):
         for engine in (1, 2):
             report = EndReport(REQUEST, 1, 'kitchen', EngineEnd(engine))
-            self.stack.box.decider.query(ReceiveEnd(report)).result(5)
+            self.stack.box.decider.query(ReceiveEnds((report,))).result(5)
         self.assertEqual(['suspect'], self.standing())
         self.assertFalse(self.client.lift('unknown'))
         self.assertTrue(self.client.lift(REQUEST))
--- a/tests/test_unencodable_items.py
+++ b/tests/test_unencodable_items.py
@@ -96,7 +96,7 @@
 class TestUnreadableMessages(testtools.TestCase):
     """Whatever a peer sends, decoders raise no error but their own."""
 
-    TYPES = (codec.PackedLists, codec.CasesPage, codec.SettingsPage, codec.EndReportReply)
+    TYPES = (codec.PackedLists, codec.CasesPage, codec.SettingsPage, codec.EndReportsReply)
 
     @given(st.binary(max_size=60) | st.integers(1, 3000).map(lambda levels: b'\x91' * levels))
     def test_any_message_is_decoded_or_a_typed_error(self, data):
