An answer is bounded as a whole, in time and in what a box holds of it

Cause: limits per read where one for the whole is meant. A socket's timeout starts anew with each byte, and a body was collected whole whatever its size.

Change: a socket whose reads end at one deadline, with a limit on the head (256 KiB, interim answers included); the store's client, the engines' client of the product's own protocol and the query of holdings use it, too, with a limit on the whole answer. A body is held up to 256 KiB, so that a retry can replace it; a larger one is passed on as it arrives, and a cut then cuts the caller's answer. The body of a server's own failure is read up to 1 MiB (answer_too_large beyond). An answer that fails its check is closed: without a length its connection stayed open until it was collected.

--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -270,6 +270,14 @@
     ran = Ran.UNKNOWN
 
 
+class AnswerTooLarge(SeamholdError):
+    """An answer that has to be read whole is larger than the box holds of one."""
+
+    code = 'answer_too_large'
+    status = 502
+    ran = Ran.UNKNOWN
+
+
 class KeyInUse(SeamholdError):
     """An earlier arrival with this idempotency key was sent to an engine."""
 
--- a/packages/platform/seamhold_platform/__init__.py
+++ b/packages/platform/seamhold_platform/__init__.py
@@ -1,11 +1,14 @@
 """Client of the platform's object API."""
 
+from .bounded_socket import AnswerTooLong, BoundedSocket, bounded_pools
 from .client import PlatformClient
 from .json_parts import JsonUnreadable
 from .objects import ObjectKind, Page, PlatformObject, WatchEvent, WatchKind
 from .reader import ObjectReader
 
 __all__ = [
+    'AnswerTooLong',
+    'BoundedSocket',
     'JsonUnreadable',
     'ObjectKind',
     'ObjectReader',
@@ -14,4 +17,5 @@
     'PlatformObject',
     'WatchEvent',
     'WatchKind',
+    'bounded_pools',
 ]
--- a/packages/platform/seamhold_platform/client.py
+++ b/packages/platform/seamhold_platform/client.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import urllib3
 
@@ -19,6 +19,7 @@
     PlatformUnreadable,
 )
 
+from .bounded_socket import AnswerTooLong, bounded_pools
 from .json_parts import JsonUnreadable, decode, elements, members
 from .objects import VERSION_FIELD, ObjectKind, Page, PlatformObject, WatchEvent, WatchKind
 from .reader import ObjectReader, OnUnnamed
@@ -36,6 +37,8 @@
     429: PlatformThrottled,
 }
 READ_CHUNK_BYTES = 64 * 1024
+#: Limit on one answer, in bytes.
+ANSWER_MAX_BYTES = 256 * 1024 * 1024
 #: Type of the event that ends a watch from a version that is too old.
 ERROR = 'ERROR'
 
@@ -44,16 +47,23 @@
     """One box's client of the object API.
 
     `calls` counts calls by verb; a watch counts as one call.  `on_unnamed` is called for each
-    object that is left out because it has no readable name.
+    object that is left out because it has no readable name.  `clock`, in seconds, limits the time
+    of each whole answer; without one only each read is limited.
     """
 
     def __init__(
-        self, url: str, pool_size: int = 4, on_unnamed: OnUnnamed = lambda text, error: None
+        self,
+        url: str,
+        pool_size: int = 4,
+        on_unnamed: OnUnnamed = lambda text, error: None,
+        clock: Callable[[], float] = lambda: 0.0,
     ):
         self.url = url.rstrip('/')
         self.calls: Counter[str] = Counter()
         self._reader = ObjectReader(VERSION_FIELD, on_unnamed)
-        self._pool = urllib3.PoolManager(
+        self._pool = bounded_pools(
+            clock,
+            ANSWER_MAX_BYTES,
             maxsize=pool_size,
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=ANSWER_SECONDS),
@@ -67,7 +77,7 @@
         self.calls[verb] += 1
         try:
             answer = self._pool.request(method, path, json=body, **extra)
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, AnswerTooLong) as error:
             raise PlatformUnavailable(f'{verb}: {error}') from error
         if answer.status >= 400:
             raise self._error(verb, answer)
@@ -146,7 +156,7 @@
         )
         try:
             yield from self._events(kind, answer)
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, AnswerTooLong) as error:
             raise PlatformUnavailable(f'watch: {error}') from error
         finally:
             answer.close()
--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -1,5 +1,6 @@
 """Sends one attempt to an engine over urllib3, and classifies how it ended."""
 
+import math
 from collections.abc import Iterator
 
 import urllib3
@@ -14,8 +15,10 @@
     EngineUnreachable,
 )
 from seamhold_messages.work import Placed
+from seamhold_platform import bounded_pools
 
-from .ports import AttemptFailed, Cancellation, EngineLoad, EngineRequest
+from .clock import boot_seconds
+from .ports import AttemptFailed, Cancellation, EngineLoad, EngineRequest, whole_body
 from .probing import refuses_connections, was_refused
 from .streams import EventStreamCheck
 
@@ -58,9 +61,9 @@
                 Outcome.BROKEN, AnswerCut(f'the answer was cut: {error}')
             ) from error
 
-    def whole(self) -> bytes:
-        """Return the complete body; raises AttemptFailed if it is cut."""
-        return b''.join(self.chunks())
+    def whole(self, max_bytes: int) -> bytes:
+        """Return the complete body; raises AttemptFailed if it is cut or longer than this."""
+        return whole_body(self.chunks(), max_bytes)
 
     def close(self) -> None:
         """Release the answer.
@@ -77,7 +80,9 @@
     """Sends requests to engines, with bounded connection pools and timeouts."""
 
     def __init__(self):
-        self._pools = urllib3.PoolManager(
+        self._pools = bounded_pools(
+            boot_seconds,
+            math.inf,
             num_pools=POOLS_MAX,
             maxsize=CONNECTIONS_PER_ENGINE,
             retries=False,
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -24,6 +24,7 @@
     EngineUnreachable,
 )
 from seamhold_messages.work import Placed
+from seamhold_platform import BoundedSocket
 
 from ..clock import boot_seconds
 from ..ports import (
@@ -35,6 +36,7 @@
     EngineLoad,
     EngineRequest,
     Verdict,
+    whole_body,
 )
 from ..probing import refuses_connections, was_refused
 from .engine_access import EngineAccess
@@ -57,6 +59,10 @@
 PROBE_EACH_SECONDS = 1
 PROBES_MAX = 2
 READ_BYTES = 64 * 1024
+#: Limit on the head of an answer with its interim answers, in bytes.
+HEAD_MAX_BYTES = 256 * 1024
+#: Limit on the body of a server's own failure, which is read whole.
+FAILURE_MAX_BYTES = 1024 * 1024
 #: The socket's timeout is set again once the time left falls below this share of it.
 #: Setting it before each read costs a system call per event, 30 for a stream of 30
 #: events instead of one.  A server that stalls holds its call longer by at most 5 % of
@@ -125,9 +131,9 @@
             self._socket.settimeout(left)
         return self._response.read1(READ_BYTES)
 
-    def whole(self) -> bytes:
-        """Return the complete body; raises AttemptFailed if it is cut."""
-        return b''.join(self.chunks())
+    def whole(self, max_bytes: int) -> bytes:
+        """Return the complete body; raises AttemptFailed if it is cut or longer than this."""
+        return whole_body(self.chunks(), max_bytes)
 
     def close(self) -> None:
         """Close the connection, which cancels a request that still runs."""
@@ -174,11 +180,16 @@
         cancellation.attach(lambda: _abort(connected))
         try:
             response = self._exchange(connection, placed, request, deadline)
-            answer = BackendAnswer(connection, connected, response, deadline, self._clock)
-            self._check(answer, request)
         except BaseException:
             connection.close()
             raise
+        answer = BackendAnswer(connection, connected, response, deadline, self._clock)
+        try:
+            self._check(answer, request)
+        except BaseException:
+            # An unread answer keeps its connection open, also after that was closed.
+            answer.close()
+            raise
         return answer
 
     def _connect(self, placed: Placed, remaining: float) -> HTTPConnection:
@@ -226,7 +237,10 @@
         remaining = max(0.001, deadline - self._clock())
         # Replaces the timeout for connecting.
         connection.timeout = remaining
-        connection.sock.settimeout(remaining)
+        bounded = BoundedSocket(connection.sock, self._clock)
+        connection.sock = bounded
+        bounded.settimeout(remaining)
+        bounded.limit(deadline, HEAD_MAX_BYTES)
         metadata = AttemptMetadata(
             request.request_id,
             request.workspace,
@@ -246,7 +260,9 @@
                 preload_content=False,
                 decode_content=False,
             )
-            return connection.getresponse()
+            response = connection.getresponse()
+            bounded.limit(deadline, math.inf)
+            return response
         except TIMEOUT_ERRORS as error:
             raise AttemptFailed(
                 Outcome.FAILED, AnswerTimeout('no answer before the deadline')
@@ -289,7 +305,7 @@
             mismatch = AnswerMismatch(f'the {answer.status} answer is not for this request')
             raise AttemptFailed(Outcome.FAILED, mismatch)
         if answer.status >= 500:
-            own = Answer(answer.status, dict(answer.headers), answer.whole())
+            own = Answer(answer.status, dict(answer.headers), answer.whole(FAILURE_MAX_BYTES))
             failed = EngineFailed(f'the server answered {answer.status}')
             raise AttemptFailed(Outcome.ANSWERED_FAILURE, failed, answer=own)
 
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -120,6 +120,7 @@
         _stream_key(found, head.host),
         now + remaining,
         shared_parts=tuple(part.id for part in metadata.prompt[:-1]),
+        passes_on_large=True,
     )
 
 
--- a/packages/router/seamhold/forwarding/held.py
+++ b/packages/router/seamhold/forwarding/held.py
@@ -13,8 +13,10 @@
 
 from seamhold_messages.fleet import Engine, Phase
 from seamhold_placement import Ranking
+from seamhold_platform import bounded_pools
 from seamhold_settings import Tree
 
+from ..clock import boot_seconds
 from ..decider import Decider
 from ..decisions import LearnHoldings
 from ..holdings_pull import HoldingsPull
@@ -25,6 +27,8 @@
 TOKENS_MIN = 512
 READY_POLL_SECONDS = 1.0
 QUERY_SECONDS = 1.0
+#: Limit on the list of one engine, in bytes.
+ANSWER_MAX_BYTES = 16 * 1024 * 1024
 #: How long to wait for the holdings that peers have, in seconds.  A running peer answers
 #: within 0.02 s and a closed port refuses at once; a box without power does not answer.
 PEERS_SECONDS = 0.15
@@ -75,6 +79,7 @@
         #: milliseconds in large fleets, so it is skipped while neither list changes.
         self._checked_boxes: tuple[str, ...] = ()
         self._checked_engines: list[Engine] = []
+        self._pools = bounded_pools(boot_seconds, ANSWER_MAX_BYTES, maxsize=1)
         self._log = logger('held')
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name='held', daemon=True)
@@ -113,7 +118,7 @@
     def _query(self, engine: Engine) -> None:
         url = f'http://{engine.address}{self._dialect.held_path}'
         try:
-            answer = urllib3.request('GET', url, timeout=QUERY_SECONDS, retries=False)
+            answer = self._pools.request('GET', url, timeout=QUERY_SECONDS, retries=False)
             parts = self._dialect.held(json.loads(answer.data), engine.started)
         except QUERY_ERRORS as error:
             self._log.info('held.unknown', engine=engine.name, detail=repr(error))
--- a/packages/router/seamhold/forwarding/tunnel_socket.py
+++ b/packages/router/seamhold/forwarding/tunnel_socket.py
@@ -89,10 +89,11 @@
             self._loop.call_soon_threadsafe(self._room.set)
         return count
 
-    def makefile(self, *_args, **_options) -> io.BufferedReader:
+    def makefile(self, _mode: str = 'rb', buffering: int = -1) -> io.BufferedReader | io.RawIOBase:
         """Return a file to read from; the connection stays open until it is closed, too."""
         self._files += 1
-        return io.BufferedReader(_TunnelFile(self))
+        file = _TunnelFile(self)
+        return file if buffering == 0 else io.BufferedReader(file)
 
     def shutdown(self, _how: int) -> None:
         """Close the connection to the engine, and wake a thread that reads from it."""
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -90,6 +90,8 @@
     tried_for: str = ''
     #: Ids of the prompt parts that other requests may share.
     shared_parts: tuple[str, ...] = ()
+    #: Whether a large answer may be passed on before it is complete.
+    passes_on_large: bool = False
     #: Whether an engine answered the call, even with a failure.
     answered: bool = False
     attempts: list[Attempt] = field(default_factory=list)
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 from seamhold_attempts.retry import Outcome
-from seamhold_messages.errors import SeamholdError
+from seamhold_messages.errors import AnswerTooLarge, SeamholdError
 from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import Placed
 from seamhold_platform import ObjectKind, Page, PlatformObject, WatchEvent
@@ -163,13 +163,26 @@
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raises AttemptFailed if it is cut."""
 
-    def whole(self) -> bytes:
-        """Return the complete body; raises AttemptFailed if it is cut."""
+    def whole(self, max_bytes: int) -> bytes:
+        """Return the complete body; raises AttemptFailed if it is cut or longer than this."""
 
     def close(self) -> None:
         """Release the answer; cancels the call if the answer was not read to its end."""
 
 
+def whole_body(chunks: Iterator[bytes], max_bytes: int) -> bytes:
+    """Join the parts of a body; raises AttemptFailed if it is longer than `max_bytes`."""
+    parts = []
+    size = 0
+    for data in chunks:
+        parts.append(data)
+        size += len(data)
+        if size > max_bytes:
+            too_large = AnswerTooLarge(f'the body exceeds {max_bytes} bytes')
+            raise AttemptFailed(Outcome.BROKEN, too_large)
+    return b''.join(parts)
+
+
 class StreamCheck(Protocol):
     """Passes on whole events only, and tracks the state of a stream.
 
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -45,6 +45,7 @@
     EngineRequest,
     OpenAnswer,
     StreamCheck,
+    whole_body,
 )
 from .stream_origins import StreamOrigins
 from .trials import TRIAL_WAIT_SECONDS, TrialRun, Trials
@@ -55,6 +56,11 @@
 #: each costs the whole connect timeout.  Servers that have ended refuse within a round trip
 #: and are not counted: a call tries each once, and the box then avoids them.
 SILENT_MAX = 4
+#: A body is held up to this size, in bytes, so that a retry can replace it; a larger one is
+#: passed on as it arrives.
+HELD_MAX_BYTES = 256 * 1024
+#: Limit on a body that must be complete before it is passed on, in bytes.
+ANSWER_MAX_BYTES = 64 * 1024 * 1024
 #: Outcomes that may mean that the engine ended.
 ENGINE_END_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN})
 
@@ -190,12 +196,42 @@
         if job.streamed and answer.status < 400:
             stream = self._stream(job, placed, answer)
             return Answer(answer.status, dict(answer.headers), stream, placed)
+        held: list[bytes] = []
+        chunks = answer.chunks()
         try:
-            body = answer.whole()
-        finally:
+            is_whole = _read_ahead(chunks, held, HELD_MAX_BYTES)
+            if not is_whole and not job.passes_on_large:
+                held.append(whole_body(chunks, ANSWER_MAX_BYTES))
+                is_whole = True
+        except BaseException:
             answer.close()
+            raise
+        if not is_whole:
+            body = self._pass_on(job, answer, held, chunks)
+            return Answer(answer.status, dict(answer.headers), body, placed)
+        answer.close()
         self._finish(job, Outcome.DONE)
-        return Answer(answer.status, dict(answer.headers), body, placed)
+        return Answer(answer.status, dict(answer.headers), b''.join(held), placed)
+
+    def _pass_on(
+        self, job: Job, answer: OpenAnswer, held: list[bytes], rest: Iterator[bytes]
+    ) -> Iterator[bytes]:
+        """Yield a large body as it arrives; an attempt that fails now is not repeated."""
+        outcome = Outcome.CANCELLED
+        try:
+            yield from held
+            held.clear()
+            yield from rest
+            outcome = Outcome.DONE
+        except AttemptFailed as failure:
+            outcome = failure.outcome
+            job.maybe_ran = True
+            self._record_attempt(job, outcome, failure.error.code)
+            failure.error.ran = Ran.UNKNOWN
+            raise failure.error from failure
+        finally:
+            answer.close()
+            self._finish(job, outcome)
 
     def _open(self, job: Job, placed: Placed, request: EngineRequest) -> OpenAnswer:
         """Start one attempt and count it by whether it reached its server."""
@@ -392,3 +428,14 @@
             self._trials.report_trial_end(job.call.workspace, result)
         if job.answered:
             self._trials.record_success(job.identity)
+
+
+def _read_ahead(chunks: Iterator[bytes], held: list[bytes], max_bytes: int) -> bool:
+    """Add a body's parts to `held` up to `max_bytes`; return whether that is all of it."""
+    size = 0
+    for data in chunks:
+        held.append(data)
+        size += len(data)
+        if size > max_bytes:
+            return False
+    return True
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -58,7 +58,7 @@
         rng = random.Random(self.incarnation)
         clock = environment.monotonic
         self.platform = PlatformClient(
-            config.platform_url, on_unnamed=unnamed_object_log('platform')
+            config.platform_url, on_unnamed=unnamed_object_log('platform'), clock=clock
         )
         self.decider = Decider(Router(config.box, self.incarnation), clock)
         self.decider.on_engine_uses = EngineUses(self.metrics).record
