Bound the chunks, chunk lines and trailers of a caller's body

A caller that sent a chunk of 2 GB filled the box's memory with it (526 MB in the test, of 48 allowed) before its size was compared with the limit on bodies: cheroot reads a chunk, and a line, whole unless it is given a limit of its own.

--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
 
-from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer, SizeCheckWrapper
 
 from seamhold_messages.errors import (
     BadRequest,
@@ -40,6 +41,11 @@
 from .thread_pool_grower import STARTING_THREADS, ThreadPoolGrower
 
 READ_BYTES = 64 * 1024
+#: A chunk of one byte takes six with its lines; the other bytes are for extensions and trailers.
+FRAMED_BYTES_PER_BYTE = 6
+FRAMING_BYTES = 8 * 1024
+#: The text of cheroot's OSError for a chunk beyond the limit.
+CHUNK_TOO_LARGE = 'Request Entity Too Large'
 #: Retry-After of a box that has no state yet, in seconds.
 NOT_READY_SECONDS = 0.5
 #: Statuses that guarantee to the caller that its request has not run.
@@ -153,6 +159,8 @@
             raise BodyTooLarge(f'the body exceeds {self.body_bytes} bytes')
         parts = []
         size = 0
+        if request.chunked_read:
+            _limit_chunks(request, FRAMED_BYTES_PER_BYTE * self.body_bytes + FRAMING_BYTES)
         try:
             while data := request.rfile.read(READ_BYTES):
                 parts.append(data)
@@ -164,7 +172,11 @@
                 list(request.rfile.read_trailer_lines())
         except ValueError as error:
             raise BadRequest(f'the body cannot be read: {error}') from error
+        except MaxSizeExceeded as error:
+            raise BodyTooLarge('the body and its chunk lines exceed the limit') from error
         except OSError as error:
+            if str(error) == CHUNK_TOO_LARGE:
+                raise BodyTooLarge(f'the body exceeds {self.body_bytes} bytes') from error
             raise CallerTooSlow('the body was not received in time') from error
         if declared is not None and size != int(declared):
             raise CallerLeft('the body is shorter than its Content-Length')
@@ -322,6 +334,15 @@
     return f'{status} {phrase}'.encode('ascii')
 
 
+def _limit_chunks(request: HTTPRequest, max_bytes: int) -> None:
+    """Limit the bytes of a chunked body with its chunk lines and trailers.
+
+    Without a limit cheroot reads a chunk of any size, and a line of any length, into memory.
+    """
+    request.rfile.maxlen = max_bytes
+    request.rfile.rfile = SizeCheckWrapper(request.rfile.rfile, max_bytes)
+
+
 class ForwardingRequest(HTTPRequest):
     """cheroot's request with the strict header reader."""
 
