Limit the time of a request's head and body, not only that of each read

The configured time for a head (`headerTimeoutMs`) was read and used nowhere: a caller that sent a byte now and then held a thread of the box for as long as it liked (each read had the idle time anew). Now the head has its time from its first byte on, and the body the time in which the request could still be served; both are told 408, not run. A connection without a request may wait as before.

--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -221,6 +221,7 @@
     def _settings_changed(self, tree: Tree) -> None:
         bounds = tree.fleet.caller_bounds
         self.server.timeout = bounds.idle_seconds
+        self.server.head_seconds = bounds.head_seconds
         self.server.max_request_header_size = bounds.head_bytes
         self.entry.body_bytes = bounds.body_bytes
         self.entry.table = RouteTable(tree)
@@ -268,7 +269,7 @@
 
     def start(self) -> None:
         """Start all tasks and listen; raises OSError if a port is in use."""
-        for task in (self.decider, self.settings_task, self.entry.watch):
+        for task in (self.decider, self.settings_task, self.entry.watch, self.entry.read_deadlines):
             task.start()
         for follower in self.followers:
             follower.start()
@@ -343,7 +344,8 @@
         self._closed = True
         for server in (self.server, self.report_server):
             server.stop()
-        parts = (self.access, self.cases, self.held, self.registration, self.entry.watch)
+        watches = (self.entry.watch, self.entry.read_deadlines)
+        parts = (self.access, self.cases, self.held, self.registration, *watches)
         for part in (*self.followers, *parts):
             part.stop()
         self.peering.stop()
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -38,12 +38,16 @@
 from .caller_watch import CallerWatch
 from .calls import RoutedRequest, can_be_taken_up, find_route, follow_origin, prepare
 from .heads import HOP_BY_HOP, RequestHead, StrictHeaderReader, read_head
+from .read_deadlines import ReadDeadlines, ReadLimit
 from .thread_pool_grower import STARTING_THREADS, ThreadPoolGrower
 
 READ_BYTES = 64 * 1024
+#: The same before the settings are known, in seconds.
+HEAD_SECONDS = 10.0
 #: A chunk of one byte takes six with its lines; the other bytes are for extensions and trailers.
 FRAMED_BYTES_PER_BYTE = 6
 FRAMING_BYTES = 8 * 1024
+REQUEST_TIMEOUT = '408 Request Timeout'
 #: The text of cheroot's OSError for a chunk beyond the limit.
 CHUNK_TOO_LARGE = 'Request Entity Too Large'
 #: Retry-After of a box that has no state yet, in seconds.
@@ -74,6 +78,7 @@
         self._origins = origins
         self._log = logger('entry')
         self.watch = CallerWatch()
+        self.read_deadlines = ReadDeadlines(environment.monotonic)
         #: Replaced as a whole when a new settings tree becomes active.
         self.table: RouteTable | None = None
         self.settings_version = 0
@@ -107,7 +112,7 @@
             metadata = self._dialect.read(head.by_name)
             exchange.request_id = metadata.request_id
             found = find_route(table, metadata, head)
-            body = self._read_body(exchange.request, head)
+            body = self._read_body_in_time(exchange.request, head, found)
             exchange.body_read = True
             now = self._environment.monotonic()
             job = self._prepare(table, found, head, body, now)
@@ -152,6 +157,21 @@
         finally:
             self.watch.remove(connection)
 
+    def _read_body_in_time(
+        self, request: HTTPRequest, head: RequestHead, found: RoutedRequest
+    ) -> bytes:
+        """Return the whole body; raises CallerTooSlow once the request could not be served."""
+        seconds = found.policy.deadline
+        if found.metadata.remaining is not None:
+            seconds = min(seconds, found.metadata.remaining)
+        with self.read_deadlines.limit(request.conn.socket, seconds) as limit:
+            try:
+                return self._read_body(request, head)
+            except SeamholdError as error:
+                if not limit.passed:
+                    raise
+                raise CallerTooSlow('the body was not received in time') from error
+
     def _read_body(self, request: HTTPRequest, head: RequestHead) -> bytes:
         """Return the whole body; raises BodyTooLarge above the limit of the settings."""
         declared = head.by_name.get('content-length')
@@ -349,6 +369,21 @@
     header_reader = StrictHeaderReader()
     #: Whether the gate counts this request as a call in progress.
     in_gate = False
+    _head_limit: ReadLimit | None = None
+
+    def parse_request(self):
+        """Read the head, within its time from the first byte on."""
+        self.conn.rfile.peek(1)
+        server = self.server
+        with server.read_deadlines.limit(self.conn.socket, server.head_seconds) as limit:
+            self._head_limit = limit
+            super().parse_request()
+
+    def simple_response(self, status, msg=''):
+        """Refuse a head that cannot be read, because it is invalid or did not arrive in time."""
+        if self._head_limit is not None and self._head_limit.passed:
+            status, msg = REQUEST_TIMEOUT, 'The head was not received in time.'
+        super().simple_response(status, msg)
 
     def respond(self):
         """Answer, then leave the gate: cheroot ends a chunked answer after the gateway returns."""
@@ -383,6 +418,9 @@
         self._pool_grower = ThreadPoolGrower(self.requests)
         self._pool_grower.start()
         self.answer = entry.answer
+        self.read_deadlines = entry.read_deadlines
+        #: Limit on the time of a request's head, in seconds.
+        self.head_seconds = HEAD_SECONDS
         self.answer_written = entry.answer_written
 
     def process_conn(self, conn):
