The origin of a stream is uncertain if its engine changed its version at that time

A server may start again under its id with another version, and the list of servers is up to some seconds late: a stream that begins then may have begun at either version. When the list shows such a change, streams that began at that engine within three seconds before lose their version at this box and its owners, and neither the box nor a caller goes on with them. The test fails before: the stream went on at the version that the entry had before.

--- a/packages/attempts/seamhold_attempts/streams.py
+++ b/packages/attempts/seamhold_attempts/streams.py
@@ -19,12 +19,21 @@
 KEPT_MAX_SECONDS = 3600.0
 
 
+#: The version of a stream whose engine may have changed its version before it began.
+UNCERTAIN = ''
+
+
 class StreamOrigin(Struct, frozen=True):
     """The service of a stream's first event, and the software version of its engine."""
 
     service: str
     version: str
 
+    @property
+    def is_certain(self) -> bool:
+        """Whether the version is known."""
+        return self.version != UNCERTAIN
+
 
 class StreamRecord(Struct, frozen=True):
     """The origin of one stream, which callers may take up within the next `seconds`.
@@ -65,11 +74,12 @@
         return len(self._records)
 
     def record(self, record: StreamRecord, now: float) -> None:
-        """Add a record; a stream's origin never changes, so a known one is only kept longer."""
+        """Add a record; a known origin can only become uncertain."""
         known = self._records.pop(record.key, None)
         until = now + min(record.seconds, KEPT_MAX_SECONDS)
         if known is not None:
-            record, until = known[0], max(until, known[1])
+            record = known[0] if record.origin.is_certain else record
+            until = max(until, known[1])
         self._records[record.key] = (record, until)
         if len(self._records) > self._size:
             self._make_room(now)
--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -11,7 +11,7 @@
 from .self_reports import REST_MAX_SECONDS, SelfReports
 from .unused import ServiceUse, UnusedReason
 from .update_lag import UpdateLag
-from .versions import ServiceVersions
+from .versions import ServiceVersions, changed_versions
 
 __all__ = [
     'REST_MAX_SECONDS',
@@ -33,5 +33,6 @@
     'Serving',
     'UnusedReason',
     'UpdateLag',
+    'changed_versions',
     'outliers',
 ]
--- a/packages/membership/seamhold_membership/versions.py
+++ b/packages/membership/seamhold_membership/versions.py
@@ -44,3 +44,13 @@
             known.setdefault(service, set()).add(version)
         self.known = {service: frozenset(versions) for service, versions in known.items()}
         self.mixed = frozenset(service for service, found in known.items() if len(found) > 1)
+
+
+def changed_versions(before: Iterable[Engine], after: Iterable[Engine]) -> frozenset[str]:
+    """Return the names, as listed before, of engines whose version changed under their id."""
+    now_at = {engine.incarnation: engine.version for engine in after if engine.incarnation}
+    return frozenset(
+        engine.name
+        for engine in before
+        if now_at.get(engine.incarnation, engine.version) != engine.version
+    )
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -10,7 +10,13 @@
 from concurrent.futures import Future
 
 from seamhold_attempts.retry import REFUSALS
-from seamhold_membership import REST_MAX_SECONDS, Digest, ServiceUse, ServiceVersions
+from seamhold_membership import (
+    REST_MAX_SECONDS,
+    Digest,
+    ServiceUse,
+    ServiceVersions,
+    changed_versions,
+)
 from seamhold_messages.errors import CallerLeft
 from seamhold_messages.fleet import Box, Engine, Evacuation
 from seamhold_messages.work import BoxRetries, Decision, Queued, Refused, RetryCount
@@ -93,6 +99,8 @@
         self.on_update: Callable[[], None] | None = None
         #: Called with the services that got a second software version.
         self.on_mixed_versions: Callable[[frozenset[str]], None] | None = None
+        #: Called with the engines, as listed before, whose version changed under their id.
+        self.on_changed_versions: Callable[[frozenset[str]], None] | None = None
         #: Called with each new list of boxes, whether from the store or from a peer.
         self.on_boxes: Callable[[list[Box]], None] | None = None
         #: Called with each check: how many engines of each service are in use.
@@ -302,11 +310,14 @@
         if not self.engines.is_update(message.version):
             return
         mixed_before = self.versions.mixed
+        changed = changed_versions(self.engines.items or [], message.engines)
         decisions = self._router.set_engines(message.engines, self._clock())
         self.engines.put(message.engines, message.version)
         newly_mixed = self.versions.mixed - mixed_before
         if newly_mixed and self.on_mixed_versions is not None:
             self.on_mixed_versions(newly_mixed)
+        if changed and self.on_changed_versions is not None:
+            self.on_changed_versions(changed)
         self._notify_peers()
         self._deliver(decisions)
 
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -124,6 +124,7 @@
             config.box, self.peering, self.decider.versions, clock, self.metrics
         )
         self.decider.on_mixed_versions = self.origins.services_mixed
+        self.decider.on_changed_versions = self.origins.engines_changed
         self.runner = Runner(
             self.decider,
             self.backends,
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -368,6 +368,8 @@
                 except AttemptFailed as failure:
                     outcome = failure.outcome
                     answer.close()
+                    if job.origin_recorded and not self._origins.is_certain(job):
+                        raise failure.error from failure
                     placed = self._retry_placement(job, placed, failure, streaming=True)
                     outcome = Outcome.CANCELLED
                     answer = self._resume(job, placed, watch)
@@ -384,7 +386,7 @@
             job.call = replace(job.call, version=placed.version)
         if job.stream_key and not job.origin_recorded and self._origins is not None:
             job.origin_recorded = True
-            self._origins.record(job, placed.version)
+            self._origins.record(job, placed)
 
     def _resume(self, job: Job, placed: Placed, watch: StreamCheck) -> OpenAnswer:
         """Open the remainder of the stream at another engine."""
--- a/packages/router/seamhold/stream_origins.py
+++ b/packages/router/seamhold/stream_origins.py
@@ -7,13 +7,23 @@
 
 import asyncio
 import threading
+from collections import deque
 from collections.abc import Callable, Iterable
 from concurrent.futures import TimeoutError as FutureTimeout
 
-from seamhold_attempts.streams import StreamOrigin, StreamRecord, StreamTable, stream_key
+from msgspec.structs import replace
+
+from seamhold_attempts.streams import (
+    UNCERTAIN,
+    StreamOrigin,
+    StreamRecord,
+    StreamTable,
+    stream_key,
+)
 from seamhold_membership import ServiceVersions
 from seamhold_messages.errors import StreamOriginUnknown
 from seamhold_messages.hashing import hash32
+from seamhold_messages.work import Placed
 from seamhold_peers import PeerClient, StreamQuery, StreamReply
 from seamhold_peers.client import FIND_STREAM_SECONDS, PEER_ERRORS
 from seamhold_placement.rank import owners
@@ -32,6 +42,8 @@
 GROUPS = 256
 #: A record is kept for so long after the caller's time has passed, in seconds.
 KEPT_AFTER_SECONDS = 10.0
+#: The list of engines is at most this late, in seconds, where a box is in touch with its peers.
+LIST_LAG_SECONDS = 3.0
 #: Limits on the records that wait for a peer, and on those in one message.
 OUTBOX_MAX = 16_384
 BATCH_MAX = 1_024
@@ -59,6 +71,8 @@
         self._metrics = metrics
         self._log = logger('stream-origins')
         self._table = StreamTable()
+        #: Streams that began here lately: when, at which engine, and their records.
+        self._begun: deque[tuple[float, str, StreamRecord]] = deque()
         self._lock = threading.Lock()
         #: Records that wait for the message to a peer, by its name.  Used on the loop only.
         self._outboxes: dict[str, list[StreamRecord]] = {}
@@ -67,16 +81,44 @@
 
     # Streams that begin at this box.
 
-    def record(self, job: Job, version: str) -> None:
+    def record(self, job: Job, placed: Placed) -> None:
         """Record the origin of a stream before its first event is passed on."""
         call = job.call
-        seconds = max(0.0, job.caller_waits_until - self._clock()) + KEPT_AFTER_SECONDS
-        origin = StreamOrigin(call.service, version)
+        now = self._clock()
+        seconds = max(0.0, job.caller_waits_until - now) + KEPT_AFTER_SECONDS
+        origin = StreamOrigin(call.service, placed.version)
         record = StreamRecord(job.stream_key, hash32(call.workspace), origin, seconds)
+        with self._lock:
+            self._begun.append((now, placed.engine, record))
+            while self._begun[0][0] < now - LIST_LAG_SECONDS:
+                self._begun.popleft()
         self.keep((record,))
         if call.service in self._versions.mixed:
             self._send((record,))
 
+    def is_certain(self, job: Job) -> bool:
+        """Whether the version of a stream that this box runs is still known."""
+        with self._lock:
+            origin = self._table.find(job.stream_key, self._clock())
+        return origin is None or origin.is_certain
+
+    def engines_changed(self, names: frozenset[str]) -> None:
+        """Forget the version of streams that just began at engines whose version changed.
+
+        A server may start again under its id with another version, and the list of servers is a
+        little late: such a stream may have begun at either.
+        """
+        since = self._clock() - LIST_LAG_SECONDS
+        with self._lock:
+            begun = [one for at, engine, one in self._begun if at >= since and engine in names]
+        records = [
+            replace(record, origin=StreamOrigin(record.origin.service, UNCERTAIN))
+            for record in begun
+        ]
+        self._log.info('versions.changed', engines=sorted(names), records=len(records))
+        self.keep(records)
+        self._send(records)
+
     def services_mixed(self, services: frozenset[str]) -> None:
         """Send the records of streams that began while these services had one version."""
         with self._lock:
@@ -127,9 +169,13 @@
         if request_id:
             with self._lock:
                 origin = self._table.find(key, self._clock())
-            if origin is not None:
-                return origin
-        return self._ask_peers(StreamQuery(key, service))
+        else:
+            origin = None
+        if origin is None:
+            origin = self._ask_peers(StreamQuery(key, service))
+        if origin is not None and not origin.is_certain:
+            raise self._unknown('its engine changed its version', None, frozenset())
+        return origin
 
     def _ask_peers(self, query: StreamQuery) -> StreamOrigin | None:
         names = [name for name in self._owners(query.key) if name != self._box]
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -4,6 +4,7 @@
 
 from seamhold_attempts import StreamOrigin, StreamRecord, StreamTable, stream_key
 from seamhold_attempts.retry import Outcome
+from seamhold_attempts.streams import UNCERTAIN
 from seamhold_membership import ServiceVersions
 from seamhold_membership.versions import REMEMBERED_SECONDS
 from seamhold_messages.fleet import Engine
@@ -26,6 +27,14 @@
         self.assertEqual(ORIGIN, table.find('a', 20.9))
         self.assertIsNone(table.find('a', 21.0))
 
+    def test_an_origin_that_became_uncertain_stays_so(self):
+        table = StreamTable()
+        uncertain = StreamOrigin('llm', UNCERTAIN)
+        table.record(record('a'), 0.0)
+        table.record(record('a', origin=uncertain), 1.0)
+        table.record(record('a'), 2.0)
+        self.assertFalse(table.find('a', 3.0).is_certain)
+
     def test_a_workspace_that_fills_the_table_pushes_out_its_own_records_only(self):
         table = StreamTable(size=10, dropped=5)
         table.record(record('quiet', workspace=2), 0.0)
