--- a/packages/platform/seamhold_platform/bounded_socket.py
+++ b/packages/platform/seamhold_platform/bounded_socket.py
@@ -106,11 +106,12 @@
     class Connection(HTTPConnection):
         def connect(self) -> None:
             super().connect()
-            self.sock = BoundedSocket(self.sock, clock)
+            self.bounds = BoundedSocket(self.sock, clock)
+            self.sock: Any = self.bounds
 
         def getresponse(self) -> Any:
             if isinstance(self.timeout, int | float):
-                self.sock.limit(clock() + self.timeout, max_bytes)
+                self.bounds.limit(clock() + self.timeout, max_bytes)
             return super().getresponse()
 
     class Pool(HTTPConnectionPool):
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -1,5 +1,7 @@
 """Turns a forwarded request into a job that can be placed and run."""
 
+import math
+
 from msgspec import Struct
 from msgspec.structs import replace
 
@@ -54,7 +56,20 @@
 
 def can_be_taken_up(found: RoutedRequest) -> bool:
     """Whether the answer is a stream that callers may take up after it broke."""
-    return found.route.streamed and found.policy.resumable
+    return found.route.streamed and bool(found.policy.resumable)
+
+
+def seconds_left(found: RoutedRequest) -> float:
+    """Return the time in which a request that just arrived can be served."""
+    deadline = found.policy.deadline
+    caller_seconds = _caller_seconds(found)
+    return caller_seconds if deadline is None else min(caller_seconds, deadline)
+
+
+def _caller_seconds(found: RoutedRequest) -> float:
+    """Return how long the caller waits, infinity if it does not say."""
+    remaining = found.metadata.remaining
+    return math.inf if remaining is None else remaining
 
 
 def follow_origin(table: RouteTable, found: RoutedRequest, origin: StreamOrigin) -> RoutedRequest:
@@ -93,7 +108,6 @@
         urgency if metadata.prompt else None,
         head.host,
     )
-    remaining = policy.deadline if metadata.remaining is None else metadata.remaining
     shared = shared_part(metadata.prompt)
     call = Call(
         metadata.request_id,
@@ -101,7 +115,7 @@
         found.service,
         shared.id if shared else metadata.request_id,
         Work(1, 1),
-        now + min(remaining, policy.deadline),
+        now + seconds_left(found),
         Priority(min(policy.priority, PRIORITY_MAX)),
         sticky=shared is not None,
         objective=policy.objective,
@@ -118,7 +132,7 @@
         shared_tokens(metadata.prompt),
         metadata.resumes,
         _stream_key(found, head.host),
-        now + remaining,
+        now + _caller_seconds(found),
         shared_parts=tuple(part.id for part in metadata.prompt[:-1]),
         passes_on_large=True,
     )
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -36,7 +36,7 @@
 from ..runner import Runner
 from ..stream_origins import StreamOrigins
 from .caller_watch import CallerWatch
-from .calls import RoutedRequest, can_be_taken_up, find_route, follow_origin, prepare
+from .calls import RoutedRequest, can_be_taken_up, find_route, follow_origin, prepare, seconds_left
 from .heads import HOP_BY_HOP, RequestHead, StrictHeaderReader, read_head
 from .read_deadlines import ReadDeadlines, ReadLimit
 from .thread_pool_grower import STARTING_THREADS, ThreadPoolGrower
@@ -161,10 +161,7 @@
         self, request: HTTPRequest, head: RequestHead, found: RoutedRequest
     ) -> bytes:
         """Return the whole body; raises CallerTooSlow once the request could not be served."""
-        seconds = found.policy.deadline
-        if found.metadata.remaining is not None:
-            seconds = min(seconds, found.metadata.remaining)
-        with self.read_deadlines.limit(request.conn.socket, seconds) as limit:
+        with self.read_deadlines.limit(request.conn.socket, seconds_left(found)) as limit:
             try:
                 return self._read_body(request, head)
             except SeamholdError as error:
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -368,7 +368,7 @@
                 except AttemptFailed as failure:
                     outcome = failure.outcome
                     answer.close()
-                    if job.origin_recorded and not self._origins.is_certain(job):
+                    if not self._is_origin_certain(job):
                         raise failure.error from failure
                     placed = self._retry_placement(job, placed, failure, streaming=True)
                     outcome = Outcome.CANCELLED
@@ -388,6 +388,11 @@
             job.origin_recorded = True
             self._origins.record(job, placed)
 
+    def _is_origin_certain(self, job: Job) -> bool:
+        if not job.origin_recorded or self._origins is None:
+            return True
+        return self._origins.is_certain(job)
+
     def _resume(self, job: Job, placed: Placed, watch: StreamCheck) -> OpenAnswer:
         """Open the remainder of the stream at another engine."""
         watch.restart()
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -130,14 +130,15 @@
                 box.record_end(EndReport('r', 1, 'kitchen', end), 0.0)
             boxes.append(box)
         self.assertEqual(1, len({box.fingerprint for box in boxes}))
-        merged = {end.engine: end.partners for end in boxes[0].case('r', 0.0).ends}
+        (case,) = boxes[0].shared_cases(0.0)
+        merged = {end.engine: end.partners for end in case.ends}
         self.assertEqual(frozenset('b'), merged[7])
 
     def test_a_case_of_a_part_survives_the_store(self):
         for engine in range(3):
             self.end(engine, identity(engine, SHARED, BAD), on_trial=engine > 1)
-        case = self.quarantine.case(digest(BAD), 0.0)
-        self.assertEqual(BAD, case.part)
+        (case,) = (one for one in self.quarantine.shared_cases(0.0) if one.part == BAD)
+        self.assertEqual(digest(BAD), case.request)
         self.assertEqual(case, from_object(to_object(case, 100.0), 100.0))
 
 
--- a/tests/test_silent_peer_connections.py
+++ b/tests/test_silent_peer_connections.py
@@ -16,7 +16,7 @@
 from seamhold_messages.errors import TicketUnreachable
 from seamhold_peers import PeerClient, PeerServer
 from seamhold_peers.calls import AnswerEnd, AnswerHead, FleetLists, RelayedCall
-from seamhold_peers.codec import CasesPage, EndReportReply
+from seamhold_peers.codec import CasesPage, EndReportsReply
 from seamhold_routing import Router
 from seamhold_settings import Candidate
 from standins.proxy import FaultProxy, Mode, ProxyLoop
@@ -66,8 +66,8 @@
         await asyncio.sleep(RELAYED_SECONDS)
         yield AnswerEnd()
 
-    async def engine_ended(self, report) -> EndReportReply:
-        return EndReportReply(1)
+    async def engine_ended(self, report) -> EndReportsReply:
+        return EndReportsReply(1)
 
 
 class SilentConnectionsTestCase(testtools.TestCase):
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,5 +1,7 @@
 """What boxes keep of streams that callers may take up, and the placement of these."""
 
+from typing import Any
+
 import testtools
 
 from seamhold_attempts import StreamOrigin, StreamRecord, StreamTable, stream_key
@@ -33,7 +35,8 @@
         table.record(record('a'), 0.0)
         table.record(record('a', origin=uncertain), 1.0)
         table.record(record('a'), 2.0)
-        self.assertFalse(table.find('a', 3.0).is_certain)
+        self.assertEqual(uncertain, table.find('a', 3.0))
+        self.assertFalse(uncertain.is_certain)
 
     def test_a_workspace_that_fills_the_table_pushes_out_its_own_records_only(self):
         table = StreamTable(size=10, dropped=5)
@@ -81,11 +84,11 @@
 class TestPlacementByVersion(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.router = Router('box', 'x')
+        self.router: Any = Router('box', 'x')
         self.engines = [engine('a', 'v1'), engine('b', 'v2'), engine('c', 'v2')]
         self.router.set_engines(self.engines, 0.0)
 
-    def admit(self, name: str, version: str | None = None, sticky: bool = True) -> object:
+    def admit(self, name: str, version: str | None = None, sticky: bool = True) -> Any:
         call = Call(name, 'w', 'llm', name, Work(1, 1), 9.0, sticky=sticky, version=version)
         return self.router.admit(call, 0.0)[0]
 
