--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -131,19 +131,19 @@
         route.streamed,
         shared_tokens(metadata.prompt),
         metadata.resumes,
-        _stream_key(found, head.host),
+        _stream_key(found),
         now + _caller_seconds(found),
         shared_parts=tuple(part.id for part in metadata.prompt[:-1]),
         passes_on_large=True,
     )
 
 
-def _stream_key(found: RoutedRequest, host: str) -> str:
+def _stream_key(found: RoutedRequest) -> str:
     metadata = found.metadata
     if not can_be_taken_up(found):
         return ''
     begun_as = metadata.resumes if metadata.resume_after else metadata.request_id
-    return stream_key(found.workspace, host, begun_as) if begun_as else ''
+    return stream_key(found.workspace, found.route.host, begun_as) if begun_as else ''
 
 
 def shared_part(prompt: tuple[PromptPart, ...]) -> PromptPart | None:
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -132,7 +132,9 @@
         metadata = found.metadata
         version = None
         if metadata.resume_after and can_be_taken_up(found):
-            origin = self._origins.find(found.workspace, head.host, metadata.resumes, found.service)
+            origin = self._origins.find(
+                found.workspace, found.route.host, metadata.resumes, found.service
+            )
             if origin is not None:
                 found = follow_origin(table, found, origin)
                 version = origin.version
--- a/tests/test_brittle_engines.py
+++ b/tests/test_brittle_engines.py
@@ -8,7 +8,7 @@
 from seamhold_membership import SelfReports
 from seamhold_messages.fleet import Box, Engine
 from seamhold_messages.work import Call, Placed, Queued, Refused, Work
-from seamhold_routing import Router
+from seamhold_routing import Router, Versions
 
 SERVICE = 'llm'
 BOXES = 8
@@ -17,6 +17,9 @@
 CALLS_PER_BOX = 40
 #: Places in an engine's queue while it is brittle.
 PLACES = 2
+#: Share of all slots that one box needs, and of its calls that must find one.
+USED_SHARE = 0.5
+SERVED_RATIO = 0.75
 
 
 class TestBrittleEngines(testtools.TestCase):
@@ -56,6 +59,22 @@
     def test_an_engine_that_is_not_brittle_may_be_filled_by_each_box(self):
         self.assertGreater(max(self.held().values()), SLOTS + PLACES)
 
+    def test_a_box_that_gets_most_calls_may_use_most_slots(self):
+        self.say_brittle()
+        router, now = self.routers[0], 0.0
+        # The other boxes report twice that they have no calls.
+        for now in (0.3, 0.6):
+            for other in self.routers[1:]:
+                router.receive_digest(*other.digests_for(['box-0'], Versions(), now), now)
+                other.receive_digest(*router.digests_for([other.box], Versions(), now), now)
+        calls = round(USED_SHARE * ENGINES * SLOTS)
+        decisions = [
+            router.admit(Call(str(n), 'w', SERVICE, str(n), Work(1, 1), now + 9.0), now)[0]
+            for n in range(calls)
+        ]
+        placed = sum(isinstance(decision, Placed) for decision in decisions)
+        self.assertGreaterEqual(placed, SERVED_RATIO * calls)
+
     def test_a_later_answer_without_the_sign_ends_it(self):
         self.say_brittle()
         self.say_brittle(False, 1.0)
