--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -42,7 +42,7 @@
 from .thread_pool_grower import STARTING_THREADS, ThreadPoolGrower
 
 READ_BYTES = 64 * 1024
-#: The same before the settings are known, in seconds.
+#: Time for the head of a request before the settings are known, in seconds.
 HEAD_SECONDS = 10.0
 #: A chunk of one byte takes six with its lines; the other bytes are for extensions and trailers.
 FRAMED_BYTES_PER_BYTE = 6
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,9 +1,11 @@
 """What boxes keep of streams that callers may take up, and the placement of these."""
 
+from types import SimpleNamespace
 from typing import Any
 
 import testtools
 
+from seamhold.forwarding.calls import RoutedRequest, follow_origin
 from seamhold_attempts import StreamOrigin, StreamRecord, StreamTable, stream_key
 from seamhold_attempts.retry import Outcome
 from seamhold_attempts.streams import UNCERTAIN
@@ -12,6 +14,7 @@
 from seamhold_messages.fleet import Engine
 from seamhold_messages.work import Call, Placed, Queued, Refused, Work
 from seamhold_routing import Router
+from seamhold_settings.schema import ServiceShare
 
 ORIGIN = StreamOrigin('llm', 'v1')
 OTHER = StreamOrigin('llm', 'v2')
@@ -81,6 +84,18 @@
         self.assertEqual(frozenset(), versions.mixed)
 
 
+class TestSplitRoutes(testtools.TestCase):
+    def test_a_stream_stays_with_its_service_while_its_route_leads_there(self):
+        shares = [ServiceShare('llm', 1), ServiceShare('other', 1), ServiceShare('off', 0)]
+        route: Any = SimpleNamespace(shares=shares)
+        table: Any = SimpleNamespace(policy=lambda _route, service, _workspace: service)
+        found: Any = RoutedRequest(None, route, None, 'kitchen', 'other')
+        followed = follow_origin(table, found, ORIGIN)
+        self.assertEqual(('llm', 'llm'), (followed.service, followed.policy))
+        for service in ('off', 'moved'):
+            self.assertIs(found, follow_origin(table, found, StreamOrigin(service, 'v1')))
+
+
 class TestPlacementByVersion(testtools.TestCase):
     def setUp(self):
         super().setUp()
