--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -16,6 +16,7 @@
     Verdict,
 )
 from seamhold_quarantine.identity import PARTS_MAX
+from seamhold_quarantine.quarantine import CASES_MAX
 
 SHARED, BAD = 'shared', 'bad'
 
@@ -141,6 +142,22 @@
         self.assertEqual(digest(BAD), case.request)
         self.assertEqual(case, from_object(to_object(case, 100.0), 100.0))
 
+    def test_ends_a_minute_apart_add_up(self):
+        for number in range(3):
+            at = 60.0 * number
+            end = EngineEnd(number, on_trial=number == 2)
+            self.quarantine.record_end(EndReport(digest(BAD), 1, 'kitchen', end, BAD), at)
+        self.assertIs(Standing.QUARANTINED, self.quarantine.standing(digest(BAD), 121.0))
+
+    def test_a_flood_of_fresh_parts_pushes_out_no_other_workspaces_case(self):
+        for engine in range(3):
+            self.end(engine, identity(engine, BAD), on_trial=engine > 1)
+        for number in range(2 * CASES_MAX):
+            flood = identity(number, f'fresh-{number}', workspace='office')
+            self.end(number, flood)
+        self.assertIs(Standing.QUARANTINED, self.standing(identity(9, BAD)))
+        self.assertLessEqual(len(self.quarantine._cases), CASES_MAX)
+
 
 class TestIdentityOfParts(testtools.TestCase):
     def test_a_part_is_not_mistaken_for_a_request_or_another_part(self):
