Send calls last to a server whose answer is overdue

Cause: a limit adjusts to responses only, and a call that hangs has none until its deadline.

Change: among servers with room, one whose answer is overdue (RFC 6298 estimate of the load table, 0.25 s at least) comes last. It is still used if no other has room, since one lost answer must not close the only server.

--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -250,7 +250,9 @@
     def _choose_by_limits(self, candidates: RankedEngines, now: float) -> Choice | None:
         """Pick the engine with the shortest expected response time within its limit.
 
-        An engine in another failure domain is rated as if it had one more call.
+        An engine in another failure domain is rated as if it had one more call.  One whose
+        answer to this box is overdue comes last: with its slots taken by calls that hang, it
+        would hold each further one until its deadline.
         """
         best = None
         for position, engine in enumerate(candidates):
@@ -261,8 +263,9 @@
             seconds = self._concurrency.expected_seconds(
                 engine.name, engine.own_calls + (not engine.local), now
             )
-            if best is None or seconds < best[0]:
-                best = (seconds, position, engine.name)
+            rating = (self._loads.silent(engine.name, now), seconds)
+            if best is None or rating < best[0]:
+                best = (rating, position, engine.name)
         return None if best is None else Choice(best[2], best[1], False)
 
     def record_response(
--- a/tests/test_concurrency_limits.py
+++ b/tests/test_concurrency_limits.py
@@ -142,6 +142,23 @@
         self.router.record_engine_load('a', 1, 0.0, 0.01)
         self.assertIsInstance(self.admit('2', 0.02), Placed)
 
+    def test_a_server_whose_answer_is_overdue_gets_calls_last(self):
+        """Guards against calls that hang at a server which takes them and answers nothing."""
+        engines = [Engine(name, 'app', f'{name}:1', slots=8) for name in 'ab']
+        self.router.set_engines(engines, 0.0)
+        for number in range(20):
+            self.answer_all([f'{number}-{call}' for call in range(16)], 0.1 * number)
+        hung = self.admit('hung', 2.5).engine
+        burst = [self.admit(f'later-{call}', 3.0) for call in range(3)]
+        self.assertNotIn(hung, [one.engine for one in burst if isinstance(one, Placed)])
+
+    def answer_all(self, call_ids: list[str], now: float) -> None:
+        decisions = [self.admit(call_id, now) for call_id in call_ids]
+        for one in decisions:
+            if isinstance(one, Placed):
+                self.router.answer_started(one.call_id, now + 0.02)
+                decisions += self.router.attempt_ended(one.call_id, Outcome.DONE, now + 0.02)
+
     def test_the_failure_of_the_only_server_is_retried_there(self):
         """Guards against passing on a failure that a second attempt would turn into an answer."""
         self.admit('1')
