--- a/packages/limits/seamhold_limits/queue.py
+++ b/packages/limits/seamhold_limits/queue.py
@@ -16,6 +16,8 @@
 from seamhold_messages.errors import DeadlinePassed, DeadlineUnmeetable, FleetFull
 from seamhold_messages.work import Call, Refused
 
+#: Share of a call's objective after which it counts as late: the rest is for its response.
+LATE_SHARE = 0.5
 #: Weight of the newest interval between two placed calls in the smoothed interval.
 INTERVAL_SMOOTHING = 0.2
 
@@ -38,6 +40,9 @@
     def __init__(self, size: int = 64, aging_seconds: float = 5.0):
         self.size = size
         self.aging_seconds = aging_seconds
+        #: Whether calls that can no longer meet their objective go last.  Under overload a queue in
+        #: order of arrival makes every call late; this one answers most of them in time.
+        self.late_last = False
         self._waiting: list[_Waiting] = []
         self._virtual_time = 0.0
         self._finish_tags: dict[str, float] = defaultdict(float)
@@ -55,6 +60,10 @@
 
     def offer(self, call: Call, now: float, weight: float = 1.0) -> list[Refused]:
         """Queue `call`; return a refusal of it or of the call that it displaced, if any."""
+        if not self._waiting:
+            # The estimate belongs to one busy period. Kept for the next one, an estimate above the
+            # deadline would refuse every call, and nothing could correct it.
+            self._interval = None
         wait = self.expected_wait()
         if now + wait > call.deadline:
             detail = f'the expected wait of {wait:.1f} s exceeds the time left'
@@ -102,10 +111,17 @@
 
         def order(waiting: _Waiting):
             promoted = int((now - waiting.at) / self.aging_seconds)
-            return (max(0, waiting.call.priority - promoted), waiting.start, waiting.at)
+            priority = max(0, waiting.call.priority - promoted)
+            return (self._is_late(waiting, now), priority, waiting.start, waiting.at)
 
         return [waiting.call for waiting in sorted(self._waiting, key=order)]
 
+    def _is_late(self, waiting: _Waiting, now: float) -> bool:
+        objective = waiting.call.objective
+        if not self.late_last or objective is None:
+            return False
+        return now - waiting.at > LATE_SHARE * objective
+
     def remove(self, call_id: str, now: float | None = None) -> bool:
         """Remove a call: placed at `now`, or cancelled if `now` is None."""
         for position, waiting in enumerate(self._waiting):
--- a/packages/placement/seamhold_placement/concurrency.py
+++ b/packages/placement/seamhold_placement/concurrency.py
@@ -11,27 +11,33 @@
 """
 
 import math
+from collections.abc import Collection
 
 #: Fraction of a call's objective that a response may take before the limit decreases. The rest
 #: is for a retry at another server.
 OBJECTIVE_SHARE = 0.5
-#: Response times up to this multiple of the shortest usual one are not taken for queueing, for
-#: calls without an objective or with one close to the shortest time.
-USUAL_MULTIPLE = 3.0
-#: Increase of the limit per full window of fast responses, in calls.
+#: Response times up to this multiple of the shortest one are not taken for queueing, whatever the
+#: objective: some servers never answer within half of it.
+SHORTEST_MULTIPLE = 3.0
+#: Increase of the limit per full window of fast responses, in calls. Below one call it doubles
+#: instead: if all boxes went to one call at once, 84 boxes would flood 24 slots.
 INCREASE = 1.0
 #: Largest decrease after one slow response, and the decrease after a rejection.
 MAX_DECREASE = 0.5
 #: Weight of the excess over the target in the decrease.
 DECREASE_GAIN = 0.8
-#: Lower bound of the limit, in calls. Less would pause for seconds after a few rejections.
+#: Lower bound of the limit, in calls.
 MIN_LIMIT = 0.05
-#: Time after which the shortest response time is measured anew, in seconds.
-SHORTEST_SECONDS = 10.0
+#: Longest pause between calls, in seconds: a server that recovers must not stay unused. With 84
+#: boxes a pause of 0.25 s would still allow more calls than 24 slots serve.
+MAX_PAUSE_SECONDS = 1.0
+#: Time after which the shortest response time is measured anew, in seconds. Overload that lasts
+#: longer is taken for the usual.
+SHORTEST_SECONDS = 60.0
 #: Half-life of the smoothed response time, in seconds: servers change their speed within a second.
 RESPONSE_HALF_LIFE = 0.5
-#: Weight of the newest response in the service's usual response time.
-USUAL_GAIN = 0.1
+#: Weight of the newest response in the service's mean response time.
+MEAN_GAIN = 0.1
 #: Response time assumed before the first response, in seconds.
 INITIAL_RESPONSE_SECONDS = 0.05
 
@@ -85,7 +91,7 @@
         """When the pause after the last call ends, for a limit below one call."""
         if self.limit >= 1.0:
             return -math.inf
-        return self._sent_at + self._response_seconds / self.limit
+        return self._sent_at + min(MAX_PAUSE_SECONDS, self._response_seconds / self.limit)
 
     def record_sent(self, now: float) -> None:
         """Record that a call is sent."""
@@ -97,9 +103,10 @@
         self.in_flight = max(0, self.in_flight - 1)
 
     def record_response(self, seconds: float, target: float, now: float) -> None:
-        """Adjust the limit to a response that began after `seconds`; `target` is the longest usual.
+        """Adjust the limit to a response that began after `seconds`.
 
-        Must be called before `record_end` of the same call.
+        `target` is the longest time that is not taken for queueing.  Must be called before
+        `record_end` of the same call.
         """
         if math.isinf(self._responded_at):
             self._response_seconds = seconds
@@ -109,10 +116,25 @@
             self._response_seconds = keep * self._response_seconds + (1 - keep) * seconds
         self._responded_at = now
         if seconds > target:
-            excess = DECREASE_GAIN * (seconds - target) / seconds
-            self._decrease(min(MAX_DECREASE, excess), seconds, now)
+            self._decrease_by_excess(seconds, target, now)
+        elif self.limit < 1.0:
+            self.limit = min(1.0, 2 * self.limit)
         elif self.in_flight + 1 > self.limit:
-            self.limit = min(self.max_calls, self.limit + INCREASE / max(1.0, self.limit))
+            self.limit = min(self.max_calls, self.limit + INCREASE / self.limit)
+
+    def record_overdue(self, seconds: float, target: float, now: float) -> None:
+        """Adjust the limit to a call that ended without a response, `seconds` after it was sent."""
+        if seconds > target:
+            self._decrease_by_excess(seconds, target, now)
+
+    def _decrease_by_excess(self, seconds: float, target: float, now: float) -> None:
+        excess = DECREASE_GAIN * (seconds - target) / seconds
+        self._decrease(min(MAX_DECREASE, excess), seconds, now)
+
+    def set_slots(self, slots: int) -> None:
+        """Set the number of the server's slots, the upper bound of the limit."""
+        self.max_calls = max(1, slots)
+        self.limit = min(self.limit, self.max_calls)
 
     def record_rejection(self, now: float) -> None:
         """Adjust the limit to a call that the server rejected because it is full."""
@@ -125,12 +147,12 @@
         self._decreased_at = now
         self.limit = max(MIN_LIMIT, self.limit * (1 - share))
 
-    def response_seconds(self, usual: float, now: float) -> float:
-        """Return the expected response time, which returns to `usual` when nothing is observed."""
+    def response_seconds(self, mean: float, now: float) -> float:
+        """Return the expected response time, which returns to `mean` when nothing is observed."""
         if math.isinf(self._responded_at):
-            return usual
+            return mean
         weight = 0.5 ** ((now - self._responded_at) / RESPONSE_HALF_LIFE)
-        return usual + weight * (self._response_seconds - usual)
+        return mean + weight * (self._response_seconds - mean)
 
 
 class ConcurrencyLimits:
@@ -139,15 +161,20 @@
     def __init__(self):
         self._limits: dict[str, ConcurrencyLimit] = {}
         self._shortest = ShortestTime()
-        self._usual = INITIAL_RESPONSE_SECONDS
+        self._mean_seconds = INITIAL_RESPONSE_SECONDS
+
+    def retain(self, listed: Collection[str], slots: dict[str, int]) -> None:
+        """Drop the limits of servers that are not `listed`, and apply the `slots` of the others.
 
-    def retain(self, slots: dict[str, int]) -> None:
-        """Drop the limits of servers that are not in `slots`, which holds the slots of each."""
-        for name in [name for name in self._limits if name not in slots]:
+        A listed server that gets no calls for a while keeps its limit: it may rest because it was
+        overloaded.
+        """
+        for name in [name for name in self._limits if name not in listed]:
             if not self._limits[name].in_flight:
                 del self._limits[name]
-        for name, limit in self._limits.items():
-            limit.max_calls = max(1, slots.get(name, limit.max_calls))
+        for name, count in slots.items():
+            if name in self._limits:
+                self._limits[name].set_slots(count)
 
     def of(self, server: str, slots: int) -> ConcurrencyLimit:
         """Return the limit at a server, a new one if there is none."""
@@ -157,10 +184,16 @@
         return limit
 
     def target(self, objective: float | None) -> float:
-        """Return the longest response time that is not taken for queueing, in seconds."""
+        """Return the longest response time that is not taken for queueing, in seconds.
+
+        Infinity without an objective: response times alone do not tell long calls from a queue,
+        so only rejections count.
+        """
+        if objective is None:
+            return math.inf
         shortest = self._shortest.seconds
-        usual = USUAL_MULTIPLE * (self._usual if math.isinf(shortest) else shortest)
-        return usual if objective is None else max(usual, OBJECTIVE_SHARE * objective)
+        shortest = 0.0 if math.isinf(shortest) else shortest
+        return max(SHORTEST_MULTIPLE * shortest, OBJECTIVE_SHARE * objective)
 
     def record_response(
         self, server: str, seconds: float, objective: float | None, now: float
@@ -169,9 +202,22 @@
         limit = self._limits.get(server)
         if limit is None:
             return
+        # A response that waited in a queue must not set the target by which it is judged.
+        target = self.target(objective)
         self._shortest.record(seconds, now)
-        self._usual += USUAL_GAIN * (seconds - self._usual)
-        limit.record_response(seconds, self.target(objective), now)
+        self._mean_seconds += MEAN_GAIN * (seconds - self._mean_seconds)
+        limit.record_response(seconds, target, now)
+
+    def record_overdue(
+        self, server: str, seconds: float, objective: float | None, now: float
+    ) -> None:
+        """Adjust the server's limit to a call that ended without a response of use.
+
+        Neither a failure nor a time-out says how long the server's work takes.
+        """
+        limit = self._limits.get(server)
+        if limit is not None:
+            limit.record_overdue(seconds, self.target(objective), now)
 
     def record_rejection(self, server: str, now: float) -> None:
         """Adjust the server's limit to a call that it rejected because it is full."""
@@ -189,10 +235,15 @@
         if limit is not None:
             limit.record_end()
 
-    def expected_seconds(self, server: str, calls: int, now: float) -> float:
-        """Return a rating of one more call at a server with `calls` calls, in seconds."""
+    def rating(self, server: str, calls: int, now: float) -> float:
+        """Return a rating of one more call at a server with `calls` calls, lower is better.
+
+        It is the expected response time, in seconds, times the calls.
+        """
         limit = self._limits.get(server)
-        response = self._usual if limit is None else limit.response_seconds(self._usual, now)
+        response = (
+            self._mean_seconds if limit is None else limit.response_seconds(self._mean_seconds, now)
+        )
         return response * (calls + 1)
 
     def limit_at(self, server: str) -> float | None:
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -147,8 +147,6 @@
         """Place the call now, or let it wait for the engine that holds its cache or for any."""
         placed = service.place(call, now)
         if placed is None:
-            if service.learns_concurrency(now):
-                self._state.counts['concurrency.no_room'] += 1
             return self._enqueue(service, call, now)
         has_patience = now < self._active[call.id].patience_ends
         if has_patience and placed.spilled:
@@ -159,6 +157,9 @@
     def _enqueue(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
         if call.version is not None:
             return self._wait_for_version(service, call)
+        service.queue.late_last = service.learns_concurrency
+        if service.learns_concurrency:
+            self._state.counts['concurrency.no_room'] += 1
         workspace = self._tree.workspaces.get(call.workspace)
         weight = workspace.weight if workspace else 1.0
         refused = service.queue.offer(call, now, weight)
@@ -243,14 +244,16 @@
         `full_engine` names the engine that refused the call as full, '' for none.  If no
         other engine is left, the call waits for that one.  `answering_engine` names the engine
         that answered with a failure of its own, '' for none: it is up, so if no other engine is
-        left, it gets the retry.
+        left and concurrency limits are used, it gets the retry.
         """
         active = self._active.get(call_id)
         if active is None:
             return []
         service = self._service(active.call.service)
-        if answering_engine and not service.any_engine(
-            now, active.call.excluded, active.call.version
+        if (
+            answering_engine
+            and service.learns_concurrency
+            and not service.any_engine(now, active.call.excluded, active.call.version)
         ):
             left = active.call.excluded - {answering_engine}
             active.call = replace(active.call, excluded=left)
@@ -371,6 +374,9 @@
         for call in service.queue.peek(now):
             placed = service.place(call, now)
             if placed is None:
+                if call.excluded and service.learns_concurrency:
+                    # A retry waits for certain engines, which must not hold up other calls.
+                    continue
                 break
             service.queue.remove(call.id, now)
             decisions.append(self._start(placed, call, now))
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -169,9 +169,9 @@
         self._local: set[str] = set()
         #: Engines that refused a call as full, with the time until which they count as full.
         self._full: dict[str, float] = {}
-        #: Used while no engine of the service has reported its load.
         self._concurrency = ConcurrencyLimits()
-        self._reports_load = False
+        #: Whether the last engine that began to answer this box reported no load.
+        self._load_unreported = False
 
     def use_plan(self, plan: ServicePlan) -> None:
         """Apply changed settings."""
@@ -239,13 +239,10 @@
             if not self._cold_shares.allows(serving.engines[name].incarnation, per_second, now)
         )
 
-    def learns_concurrency(self, now: float) -> bool:
+    @property
+    def learns_concurrency(self) -> bool:
         """Whether concurrency limits replace the reported load of this service's engines."""
-        if not self.plan.learned_concurrency or self._reports_load:
-            return False
-        names = self._engines.serving(self.name, now).engines
-        self._reports_load = any(self._loads.reading_age(name, now) is not None for name in names)
-        return not self._reports_load
+        return self.plan.learned_concurrency and self._load_unreported
 
     def _choose_by_limits(self, candidates: RankedEngines, now: float) -> Choice | None:
         """Pick the engine with the shortest expected response time within its limit.
@@ -260,9 +257,8 @@
                 continue
             if not self._concurrency.of(engine.name, engine.slots).allows(now):
                 continue
-            seconds = self._concurrency.expected_seconds(
-                engine.name, engine.own_calls + (not engine.local), now
-            )
+            calls = engine.own_calls + (not engine.local)
+            seconds = self._concurrency.rating(engine.name, calls, now)
             rating = (self._loads.silent(engine.name, now), seconds)
             if best is None or rating < best[0]:
                 best = (rating, position, engine.name)
@@ -272,27 +268,23 @@
         self, engine: str, seconds: float, objective: float | None, now: float
     ) -> None:
         """Record that `engine` began to answer a call `seconds` after it was sent."""
+        self._load_unreported = self._loads.reading_age(engine, now) is None
         self._concurrency.record_response(engine, seconds, objective, now)
 
     def record_attempt_end(
         self, engine: str, outcome: Outcome, waited: float | None, call: Call, now: float
     ) -> None:
-        """Record how an attempt ended; `waited` is None if its answer had begun.
-
-        An answer that did not begin within the usual time counts as a slow one.
-        """
+        """Record how an attempt ended; `waited` is None if its answer had begun."""
         if outcome in REFUSALS:
             self._concurrency.record_rejection(engine, now)
-        elif waited is not None and (
-            outcome is Outcome.ANSWERED_FAILURE or waited > self._concurrency.target(call.objective)
-        ):
-            self._concurrency.record_response(engine, waited, call.objective, now)
+        elif waited is not None:
+            self._concurrency.record_overdue(engine, waited, call.objective, now)
         self._concurrency.record_end(engine)
 
     @property
     def concurrency_limit(self) -> float:
         """The sum of this box's concurrency limits at the engines, 0 if none is used."""
-        return self._concurrency.total
+        return self._concurrency.total if self.learns_concurrency else 0.0
 
     def record_sent(self, engine: str, now: float) -> None:
         """Record that a call was sent to `engine`."""
@@ -311,7 +303,8 @@
             self._loads.set_group(self.name, serving.engines)
             self._loads.set_group(self._idle_group, serving.idle)
             self._concurrency.retain(
-                {name: engine.slots for name, engine in serving.engines.items()}
+                {*serving.engines, *serving.unused},
+                {name: engine.slots for name, engine in serving.engines.items()},
             )
             self._weight = sum(engine.weight for engine in serving.engines.values())
             self._idle_weight = sum(engine.weight for engine in serving.idle.values())
@@ -351,7 +344,7 @@
         hint = candidates.rank_of_hint(call.hint)
         if call.sticky:
             choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
-        elif self.learns_concurrency(now):
+        elif self.learns_concurrency:
             choice = self._choose_by_limits(candidates, now)
         else:
             choice = choose_least_loaded(candidates, call.work, self._local)
@@ -388,7 +381,7 @@
             len(serving.engines),
             len(serving.idle),
             engine.version,
-            self._concurrency.limit_at(choice.name),
+            self._concurrency.limit_at(choice.name) if self.learns_concurrency else None,
         )
 
     @staticmethod
