--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Mapping, Sequence
 
+from seamhold_attempts.retry import REFUSALS, Outcome
 from seamhold_limits import WaitQueue
 from seamhold_membership import EngineView, Serving
 from seamhold_messages.fleet import Engine
@@ -9,8 +10,10 @@
 from seamhold_messages.work import Call, Placed, Work
 from seamhold_placement import (
     Candidate,
+    Choice,
     Chooser,
     ColdShares,
+    ConcurrencyLimits,
     HolderTable,
     LoadTable,
     Ranking,
@@ -166,6 +169,9 @@
         self._local: set[str] = set()
         #: Engines that refused a call as full, with the time until which they count as full.
         self._full: dict[str, float] = {}
+        self._concurrency = ConcurrencyLimits()
+        #: Whether the last engine that began to answer this box reported no load.
+        self._load_unreported = False
 
     def use_plan(self, plan: ServicePlan) -> None:
         """Apply changed settings."""
@@ -233,9 +239,58 @@
             if not self._cold_shares.allows(serving.engines[name].incarnation, per_second, now)
         )
 
+    @property
+    def learns_concurrency(self) -> bool:
+        """Whether concurrency limits replace the reported load of this service's engines."""
+        return self.plan.learned_concurrency and self._load_unreported
+
+    def _choose_by_limits(self, candidates: RankedEngines, now: float) -> Choice | None:
+        """Pick the engine with the shortest expected response time within its limit.
+
+        An engine in another failure domain is rated as if it had one more call.  One whose
+        answer to this box is overdue comes last: with its slots taken by calls that hang, it
+        would hold each further one until its deadline.
+        """
+        best = None
+        for position, engine in enumerate(candidates):
+            if engine.name in self._full or engine.own_calls >= engine.slots:
+                continue
+            if not self._concurrency.of(engine.name, engine.slots).allows(now):
+                continue
+            calls = engine.own_calls + (not engine.local)
+            seconds = self._concurrency.rating(engine.name, calls, now)
+            rating = (self._loads.silent(engine.name, now), seconds)
+            if best is None or rating < best[0]:
+                best = (rating, position, engine.name)
+        return None if best is None else Choice(best[2], best[1], False)
+
+    def record_response(
+        self, engine: str, seconds: float, objective: float | None, now: float
+    ) -> None:
+        """Record that `engine` began to answer a call `seconds` after it was sent."""
+        self._load_unreported = self._loads.reading_age(engine, now) is None
+        self._concurrency.record_response(engine, seconds, objective, now)
+
+    def record_attempt_end(
+        self, engine: str, outcome: Outcome, waited: float | None, call: Call, now: float
+    ) -> None:
+        """Record how an attempt ended; `waited` is None if its answer had begun."""
+        if outcome in REFUSALS:
+            self._concurrency.record_rejection(engine, now)
+        elif waited is not None:
+            self._concurrency.record_overdue(engine, waited, call.objective, now)
+        self._concurrency.record_end(engine)
+
+    @property
+    def concurrency_limit(self) -> float:
+        """The sum of this box's concurrency limits at the engines, 0 if none is used."""
+        return self._concurrency.total if self.learns_concurrency else 0.0
+
     def record_sent(self, engine: str, now: float) -> None:
         """Record that a call was sent to `engine`."""
         serving = self._refresh(now)
+        if engine in serving.engines:
+            self._concurrency.record_sent(engine, serving.engines[engine].slots, now)
         if engine in serving.cold:
             self._cold_shares.record_sent(serving.engines[engine].incarnation, now)
 
@@ -247,6 +302,10 @@
             self._ranking.set_weights(serving.weights)
             self._loads.set_group(self.name, serving.engines)
             self._loads.set_group(self._idle_group, serving.idle)
+            self._concurrency.retain(
+                {*serving.engines, *serving.unused},
+                {name: engine.slots for name, engine in serving.engines.items()},
+            )
             self._weight = sum(engine.weight for engine in serving.engines.values())
             self._idle_weight = sum(engine.weight for engine in serving.idle.values())
             self._local = {
@@ -285,6 +344,8 @@
         hint = candidates.rank_of_hint(call.hint)
         if call.sticky:
             choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
+        elif self.learns_concurrency:
+            choice = self._choose_by_limits(candidates, now)
         else:
             choice = choose_least_loaded(candidates, call.work, self._local)
         if choice is None:
@@ -320,6 +381,7 @@
             len(serving.engines),
             len(serving.idle),
             engine.version,
+            self._concurrency.limit_at(choice.name) if self.learns_concurrency else None,
         )
 
     @staticmethod
