Read the speed that an engine reports with its load

Engines report running,waiting,slots,speed; the adapter accepted three figures only, so a response with a speed yielded no load at all, without a trace.

The load table owns a SpeedTable with the newest speed of each engine and its time. A response's own speed is dated on receipt, since the engine states it when it starts to answer; the load stays dated when the call was sent.

--- a/packages/membership/seamhold_membership/unused.py
+++ b/packages/membership/seamhold_membership/unused.py
@@ -28,13 +28,16 @@
     """How many of a service's listed engines get new work, and how many do not, by reason.
 
     `concurrency_limit` is the sum of this box's concurrency limits at them in calls, 0 if none
-    is used.
+    is used.  `speeds` counts the engines that lately reported a speed; `oldest_speed` is the age
+    in seconds of the oldest of these speeds, 0 if there is none.
     """
 
     service: str
     used: int
     unused: dict[UnusedReason, int]
     concurrency_limit: float = 0.0
+    speeds: int = 0
+    oldest_speed: float = 0.0
 
     @property
     def unused_share(self) -> float:
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -75,11 +75,16 @@
 
 
 class LoadReading(Struct, frozen=True):
-    """Number of calls running or queued at an engine, as it reported `age` seconds ago."""
+    """Number of calls running or queued at an engine, as it reported `age` seconds ago.
+
+    `slowness` is how long work takes there as a multiple of the usual time, None if the engine
+    did not report it.
+    """
 
     engine: str
     requests: int
     age: float = 0.0
+    slowness: float | None = None
 
 
 class FailureReport(Struct, frozen=True):
--- a/packages/placement/seamhold_placement/__init__.py
+++ b/packages/placement/seamhold_placement/__init__.py
@@ -6,6 +6,7 @@
 from .holders import HolderTable
 from .load import LoadTable
 from .rank import Ranking
+from .speeds import Slowness, SpeedTable
 
 __all__ = [
     'BoundPolicy',
@@ -17,6 +18,8 @@
     'HolderTable',
     'LoadTable',
     'Ranking',
+    'Slowness',
+    'SpeedTable',
     'Totals',
     'choose',
     'choose_least_loaded',
--- a/packages/placement/seamhold_placement/load.py
+++ b/packages/placement/seamhold_placement/load.py
@@ -33,6 +33,7 @@
 from seamhold_messages.work import NO_WORK, LoadReading, Work
 
 from .answering import PendingAnswers
+from .speeds import SpeedTable
 
 #: Maximum age of a reading, in seconds. A working engine reports several times per second, so
 #: one without a reading for this long is idle or stuck.
@@ -75,6 +76,8 @@
         # Whether an engine answers makes no difference before its reading fades.
         self._pending = PendingAnswers(FADING_FROM_SECONDS)
         self._tokens_per_call = 0.0
+        #: The newest speed that each engine reported to any box.
+        self.speeds = SpeedTable()
         self._group_of: dict[str, str] = {}
         self._group_known: dict[str, Work] = defaultdict(lambda: NO_WORK)
         self._group_unreported: dict[str, Work] = defaultdict(lambda: NO_WORK)
@@ -154,6 +157,8 @@
         if current is not None and at <= current.at + newer_by:
             return False
         self._readings[reading.engine] = _Reading(reading.requests, at)
+        if reading.slowness is not None:
+            self.speeds.record(reading.engine, reading.slowness, at)
         changes = [
             change.work for change in self._changes.get(reading.engine, ()) if change.at > at
         ]
@@ -183,6 +188,7 @@
         for engine, changes in list(self._changes.items()):
             if changes[-1].at < now - READING_SECONDS:
                 del self._changes[engine]
+        self.speeds.expire(now)
 
     def _reported_by_boxes(self, engine: str) -> Work:
         """Return the work on `engine` that boxes report as their own, this box included."""
--- a/packages/router/seamhold/answer_reports.py
+++ b/packages/router/seamhold/answer_reports.py
@@ -9,7 +9,7 @@
 from .decisions import EngineBrittle, EngineLeaving, EngineLoadReported, EngineResting
 from .job import Job
 from .metrics import Metrics
-from .ports import AttemptFailed, EngineLoad, OpenAnswer
+from .ports import AttemptFailed, OpenAnswer
 
 #: Retry-After of a call that was withdrawn from its engine, in seconds.
 RETRY_AFTER_SECONDS = 0.25
@@ -36,7 +36,7 @@
         """Record what the head of an answer reports."""
         self._record_leaving(job, placed, answer.leaving)
         self._record_brittle(placed, answer.brittle)
-        self._record_load(job, placed, answer.load)
+        self._record_load(job, placed, answer)
 
     def record_failure(self, job: Job, placed: Placed, failure: AttemptFailed) -> None:
         """Record what a refusal or a failure reports."""
@@ -50,7 +50,7 @@
         if failure.outcome in REFUSALS:
             attempt.refusal = failure.refusal
             self._metrics.count(f'engine_refused.{failure.refusal}')
-        self._record_load(job, placed, failure.load)
+        self._record_load(job, placed, failure)
 
     def _record_leaving(self, job: Job, placed: Placed, leaving: bool) -> None:
         if leaving:
@@ -69,11 +69,16 @@
             self._brittle_reported_at[placed.engine] = now
             self._decider.send(EngineBrittle(placed.engine, True))
 
-    def _record_load(self, job: Job, placed: Placed, load: EngineLoad | None) -> None:
+    def _record_load(self, job: Job, placed: Placed, report: OpenAnswer | AttemptFailed) -> None:
+        if report.load_unreadable:
+            self._metrics.count('engine_load.unreadable')
+        load = report.load
         if load is None:
             return
         attempt = job.attempts[-1]
         attempt.reported_load = load
         # The call itself was not part of the load when it was placed.
         self._metrics.belief_error(job.call.service, load.requests - placed.load - 1)
-        self._decider.send(EngineLoadReported(placed.engine, load.requests, attempt.began_at))
+        self._decider.send(
+            EngineLoadReported(placed.engine, load.requests, attempt.began_at, load.slowness)
+        )
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -304,7 +304,9 @@
 
     def _engine_load_reported(self, message: EngineLoadReported) -> None:
         now = self._clock()
-        self._router.record_engine_load(message.engine, message.requests, message.sent_at, now)
+        self._router.record_engine_load(
+            message.engine, message.requests, message.sent_at, now, message.slowness
+        )
 
     def _use_settings(self, message: UseSettings) -> None:
         self._router.use_settings(message.tree)
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -53,12 +53,14 @@
 class EngineLoadReported(Struct):
     """Reports how many calls run and wait at an engine, as its answer says.
 
-    `sent_at` is when the answered call was sent, in seconds on the box's clock.
+    `sent_at` is when the answered call was sent, in seconds on the box's clock.  `slowness` is
+    how long work takes there as a multiple of the usual time, None if not reported.
     """
 
     engine: str
     requests: int
     sent_at: float
+    slowness: float | None = None
 
 
 class StoreAnswered(Struct):
--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -45,6 +45,7 @@
         self.headers = response.headers
         #: These servers do not report their load.
         self.load: EngineLoad | None = None
+        self.load_unreadable = False
         #: Only refusals of these servers say that they leave.
         self.leaving = False
         self.brittle = False
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -105,6 +105,7 @@
         self.status = response.status
         self.headers = response.headers
         self.load: EngineLoad | None = None
+        self.load_unreadable = False
         self.leaving = False
         self.brittle = False
 
@@ -275,6 +276,7 @@
         """Raise AttemptFailed unless the answer may be passed on to the caller."""
         verdict = self._dialect.verdict(answer.status, answer.headers, request.request_id)
         answer.load = verdict.load
+        answer.load_unreadable = verdict.load_unreadable
         answer.leaving = verdict.leaving
         answer.brittle = verdict.brittle
         try:
@@ -282,6 +284,7 @@
         except AttemptFailed as failure:
             # A body that is cut does not change what the head says of the server.
             failure.leaving = verdict.leaving
+            failure.load_unreadable = verdict.load_unreadable
             failure.rest_seconds = verdict.rest_seconds
             failure.brittle = None if verdict.misdirected else verdict.brittle
             raise
--- a/packages/router/seamhold/metrics_page.py
+++ b/packages/router/seamhold/metrics_page.py
@@ -36,6 +36,7 @@
         yield self._belief_errors()
         yield self._engine_uses()
         yield self._concurrency_limits()
+        yield from self._speeds()
 
     def _events(self) -> CounterMetricFamily:
         events = CounterMetricFamily(
@@ -79,6 +80,24 @@
                 limits.add_metric((use.service,), use.concurrency_limit)
         return limits
 
+    def _speeds(self) -> Iterator[GaugeMetricFamily]:
+        engines = GaugeMetricFamily(
+            f'{PREFIX}_engines_with_speed',
+            'Listed engines that lately reported how long work takes there',
+            labels=('service',),
+        )
+        oldest = GaugeMetricFamily(
+            f'{PREFIX}_oldest_speed_seconds',
+            'Age of the oldest of these reports',
+            labels=('service',),
+        )
+        for use in self._metrics.engine_uses():
+            if use.speeds:
+                engines.add_metric((use.service,), use.speeds)
+                oldest.add_metric((use.service,), use.oldest_speed)
+        yield engines
+        yield oldest
+
     def _belief_errors(self) -> HistogramMetricFamily:
         errors = HistogramMetricFamily(
             f'{PREFIX}_belief_error_calls',
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -47,11 +47,16 @@
 
 
 class EngineLoad(Struct, frozen=True):
-    """The load that a backend server reports: running calls, waiting calls and slots."""
+    """The load that a backend server reports: running calls, waiting calls and slots.
+
+    `slowness` is how long work takes there as a multiple of the usual time (1.0 is usual), None
+    if the server does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
     @property
     def requests(self) -> int:
@@ -101,6 +106,8 @@
         self.load = load
         self.connection_refused = connection_refused
         self.rest_seconds = 0.0
+        #: Whether the answer reported a load that could not be read.
+        self.load_unreadable = False
         #: None if no server answered, so that it is not known.
         self.brittle: bool | None = None
         self.outcome = outcome
@@ -151,12 +158,14 @@
     """An answer that has begun; `load` is the load that the server reported, if any.
 
     `leaving` is whether the server said with it that it takes no new work, `brittle` whether it
-    falls over if it turns away many calls.
+    falls over if it turns away many calls.  `load_unreadable` is whether the server reported a
+    load that could not be read; `load` is then None.
     """
 
     status: int
     headers: Mapping[str, str]
     load: EngineLoad | None
+    load_unreadable: bool
     leaving: bool
     brittle: bool
 
@@ -316,7 +325,8 @@
     did not run the call.  `misdirected`: the server is not the expected incarnation.
     `leaving`: the expected incarnation says that it takes no new work.  `rest_seconds` is how
     long it wants no requests from this box, 0 for none.  `brittle`: it falls over if it has to
-    turn away many calls in a second.
+    turn away many calls in a second.  `load_unreadable`: it reported a load that could not be
+    read; `load` is then None.
     """
 
     genuine: bool
@@ -326,6 +336,7 @@
     leaving: bool = False
     rest_seconds: float = 0.0
     brittle: bool = False
+    load_unreadable: bool = False
 
 
 class CallerDialect(Protocol):
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -80,13 +80,19 @@
 
     def engine_uses(self, now: float) -> list[ServiceUse]:
         """Return the use of engines by each service that this box has received calls for."""
-        return [
-            replace(
-                self._state.engines.service_use(name, now),
-                concurrency_limit=service.concurrency_limit,
+        uses = []
+        for name, service in self._services.items():
+            serving = self._state.engines.serving(name, now)
+            ages = self._state.loads.speeds.ages([*serving.engines, *serving.unused], now)
+            uses.append(
+                replace(
+                    self._state.engines.service_use(name, now),
+                    concurrency_limit=service.concurrency_limit,
+                    speeds=len(ages),
+                    oldest_speed=max(ages, default=0.0),
+                )
             )
-            for name, service in self._services.items()
-        ]
+        return uses
 
     def use_settings(self, tree: Tree) -> None:
         """Apply a settings tree; calls in flight continue."""
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -161,18 +161,29 @@
         """Record whether an engine said in an answer to this box that it is brittle."""
         self.engines.mark_brittle(name, brittle, now)
 
-    def record_engine_load(self, name: str, requests: int, sent_at: float, now: float) -> None:
+    def record_engine_load(
+        self,
+        name: str,
+        requests: int,
+        sent_at: float,
+        now: float,
+        slowness: float | None = None,
+    ) -> None:
         """Record how many calls run and wait at an engine, as reported with an answer.
 
         The reading is dated `sent_at`, when the answered call was sent, because it is not known
         when the engine counted since then, and calls in transit at that time are not counted.
         Dating it on receipt breaks the load guarantee: with 0.1 s of latency each way and 40 in
         100 of 235 calls a second for one prompt, 11 of 1,000 calls exceed the bound instead of 1.
+
+        `slowness` is dated on receipt here, because the engine states it when it starts to answer.
+        Peers receive it with the age of the reading, which is at least its own.
         """
         if self.engines.get(name) is not None:
-            self.exchange.record_engine_load(
-                LoadReading(name, requests, max(0.0, now - sent_at)), now
-            )
+            reading = LoadReading(name, requests, max(0.0, now - sent_at), slowness)
+            self.exchange.record_engine_load(reading, now)
+            if slowness is not None:
+                self.loads.speeds.record(name, slowness, now)
 
     def engine_ended(self, engine: Engine, report: EndReport, now: float) -> EndReport | None:
         """Record that an engine ended under one of this box's calls.
