Relay the speed of engines in digests

A box receives responses of few engines in the time in which a speed changes. Relayed readings carry the speed in one optional column, in hundredths of the usual time and 0 for none. It is encoded only if a reading in the digest has a speed, so other digests keep their bytes; older boxes ignore the column, and a column that is missing or too short leaves readings without a speed.

--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -20,7 +20,7 @@
 from .update_codec import (
     HeartbeatColumns,
     HoldingColumns,
-    ReadingColumns,
+    ReadingColumnsWithSlowness,
     ReportColumns,
     UpdateReader,
     age_seconds,
@@ -99,7 +99,7 @@
     events: list[EventPart] | None = None
     held: HoldingColumns | None = None
     learned: int = 0
-    readings: ReadingColumns | None = None
+    readings: ReadingColumnsWithSlowness | None = None
     reports: ReportColumns | None = None
     store_age: int | None = None
     watchers: HeartbeatColumns | None = None
--- a/packages/peers/seamhold_peers/update_codec.py
+++ b/packages/peers/seamhold_peers/update_codec.py
@@ -5,8 +5,10 @@
 
 import math
 from collections.abc import Iterable, Iterator
+from itertools import chain, repeat
 
 from msgspec import Struct
+from msgspec.structs import astuple
 
 from seamhold_messages.work import FailureReport, Holding, LoadReading, WatcherHeartbeat
 
@@ -15,6 +17,9 @@
 #: Ages are sent in steps of 20 ms, rounded up: one byte each up to 2.5 s.
 AGE_STEPS_PER_SECOND = 50
 AGE_STEPS_MAX = 2**15 - 1
+#: Speeds are sent in hundredths of the usual time, as engines report them.
+HUNDREDTHS = 100
+SLOWNESS_HUNDREDTHS_MAX = 10**9 - 1
 
 
 class ReadingColumns(Struct, frozen=True, array_like=True):
@@ -25,6 +30,15 @@
     ages: list[int]
 
 
+class ReadingColumnsWithSlowness(ReadingColumns, frozen=True, array_like=True):
+    """Load readings of which some have a speed; other readings save the byte.
+
+    `slowness` is in hundredths of the usual time, 0 for none.  Older versions ignore it.
+    """
+
+    slowness: list[int] | None = None
+
+
 class ReportColumns(Struct, frozen=True, array_like=True):
     """Boxes' reports of failed calls to engines; keys are packed."""
 
@@ -76,11 +90,28 @@
     found = list(readings)
     if not found:
         return None
-    return ReadingColumns(
+    columns = ReadingColumns(
         pack_names(reading.engine for reading in found),
         [reading.requests for reading in found],
         [age_steps(reading.age) for reading in found],
     )
+    if all(reading.slowness is None for reading in found):
+        return columns
+    return ReadingColumnsWithSlowness(
+        *astuple(columns), [_slowness_hundredths(reading.slowness) for reading in found]
+    )
+
+
+def _slowness_hundredths(slowness: float | None) -> int:
+    if slowness is None:
+        return 0
+    return max(1, min(SLOWNESS_HUNDREDTHS_MAX, round(slowness * HUNDREDTHS)))
+
+
+def _slowness(hundredths: int) -> float | None:
+    if not 0 < hundredths <= SLOWNESS_HUNDREDTHS_MAX:
+        return None
+    return hundredths / HUNDREDTHS
 
 
 def report_columns(reports: Iterable[FailureReport]) -> ReportColumns | None:
@@ -123,14 +154,16 @@
             if name := self._names.name(key):
                 yield Holding(chat, name)
 
-    def readings(self, part: ReadingColumns | None) -> Iterator[LoadReading]:
+    def readings(self, part: ReadingColumnsWithSlowness | None) -> Iterator[LoadReading]:
         """Yield the engines' load readings."""
         if part is None:
             return
-        rows = zip(unpack(part.engines), part.requests, part.ages, strict=False)
-        for key, requests, steps in rows:
+        # A column that is absent or too short leaves readings without a speed.
+        speeds = chain(part.slowness or (), repeat(0))
+        rows = zip(unpack(part.engines), part.requests, part.ages, speeds, strict=False)
+        for key, requests, steps, hundredths in rows:
             if name := self._names.name(key):
-                yield LoadReading(name, requests, age_seconds(steps))
+                yield LoadReading(name, requests, age_seconds(steps), _slowness(hundredths))
 
     def watchers(self, part: HeartbeatColumns | None) -> Iterator[WatcherHeartbeat]:
         """Yield the heartbeats of boxes that watch the platform."""
