Give each call a rank by workspace priority, then route priority

Cause: Call.priority holds the route's merged priority alone, so a queue cannot put an urgent workspace first.

Change: Call.workspace_priority and Call.rank, one of ten: workspace priority x 3 + route priority, at most 9. The forwarding entry fills it. WaitingCalls describes the calls of one rank that wait at a box.

Why it holds: Call.priority is limited to three values, so no route outranks another workspace below rank 9; those from workspace priority 3 on share rank 9. Nothing uses the rank yet.

--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -13,6 +13,10 @@
     BULK = 2
 
 
+#: Number of ranks in which calls wait.
+RANKS = 10
+
+
 class Work(Struct, frozen=True):
     """Work in flight: number of calls, and the tokens estimated for them at dispatch."""
 
@@ -50,7 +54,8 @@
     that is not `sticky` reuses no cache and goes to the least loaded engine.
     `objective` is the target time to the first byte in seconds, None if the
     settings define none.  `version` is the only software version whose engines
-    may take the call, None for any.
+    may take the call, None for any.  `workspace_priority` is the workspace's own priority, 0 is
+    the highest.
     """
 
     id: str
@@ -65,6 +70,12 @@
     sticky: bool = True
     objective: float | None = None
     version: str | None = None
+    workspace_priority: int = 0
+
+    @property
+    def rank(self) -> int:
+        """Place in the order of calls, 0 first: by workspace priority, then by route priority."""
+        return min(RANKS - 1, self.workspace_priority * len(Priority) + self.priority)
 
 
 class Holding(Struct, frozen=True):
@@ -117,6 +128,19 @@
     first_attempts: int
 
 
+class WaitingCalls(Struct, frozen=True):
+    """The calls of one service and rank that wait at a box.
+
+    `service_key` is the hash of the service's name, `oldest` how long the oldest of them has
+    waited, in seconds.
+    """
+
+    service_key: int
+    rank: int
+    calls: int
+    oldest: float = 0.0
+
+
 class BoxRetries(Struct, frozen=True):
     """What one box spent of its retry budgets, as it said `age` seconds ago."""
 
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -96,7 +96,8 @@
     """
     metadata, policy, route = found.metadata, found.policy, found.route
     headers = end_to_end(head.headers, dialect.never_passed_on())
-    urgency = _urgency(table.workspace_priority(found.workspace), policy.priority)
+    workspace_priority = table.workspace_priority(found.workspace)
+    urgency = _urgency(workspace_priority, policy.priority)
     request = EngineRequest(
         metadata.request_id,
         head.method,
@@ -120,6 +121,7 @@
         sticky=shared is not None,
         objective=policy.objective,
         version=version,
+        workspace_priority=workspace_priority,
     )
     repeatable = policy.resumable if route.streamed else policy.repeatable
     rule = RetryRule(repeatable, policy.retries)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -9,10 +9,11 @@
 from hypothesis import strategies as st
 
 from seamhold.forwarding.caller_watch import CallerWatch
+from seamhold.forwarding.calls import RoutedRequest, prepare
 from seamhold.forwarding.entry import caller_status
 from seamhold.forwarding.events import EventCheck
-from seamhold.forwarding.heads import StrictHeaderReader, end_to_end
-from seamhold.ports import Cancellation
+from seamhold.forwarding.heads import RequestHead, StrictHeaderReader, end_to_end
+from seamhold.ports import CallerMetadata, Cancellation
 from seamhold_messages.errors import ERRORS_BY_CODE, EngineRefused, NoEngine, Ran
 from seamhold_settings import ActiveSettings, Candidate, OfferResult, Tree
 from seamhold_settings.checking import check
@@ -40,6 +41,13 @@
     return RouteTable(Tree(found.fleet, dict(found.workspaces)))
 
 
+class HeaderDialect:
+    """A dialect of which only the headers that are never forwarded are asked."""
+
+    def never_passed_on(self) -> frozenset[str]:
+        return frozenset()
+
+
 class TestRouteTable(testtools.TestCase):
     def test_the_longest_prefix_of_the_host_wins(self):
         routes = table(route('a', '/'), route('a', '/x/'), route('a', '/x/y/'), route('b', '/z/'))
@@ -69,6 +77,20 @@
         self.assertEqual((5, 1), (policy.deadline, policy.priority))
         self.assertEqual(2, routes.workspace_priority('one'))
 
+    def test_a_call_ranks_by_its_workspace_before_its_route(self):
+        """Guards against an order by the route's priority alone."""
+        spaces = {'one': {'policy': {'priority': 0}}, 'two': {'policy': {'priority': 2}}}
+        routes = table(route('a', '/', policy={'priority': 2}), workspaces=spaces)
+        self.assertEqual([2, 8], [self.rank(routes, workspace) for workspace in spaces])
+
+    def rank(self, routes: RouteTable, workspace: str) -> int:
+        found = routes.find('a', '/')
+        policy = routes.policy(found, 'llm', workspace)
+        metadata = CallerMetadata('id', None, '')
+        routed = RoutedRequest(metadata, found, policy, workspace, 'llm')
+        head = RequestHead('GET', '/', {}, {})
+        return prepare(routes, HeaderDialect(), routed, head, b'', 0.0).call.rank
+
     def test_a_service_of_weight_0_receives_no_requests(self):
         shares = [ServiceShare(service='new', weight=0), ServiceShare(service='old', weight=3)]
         self.assertEqual({'old'}, {choose_service(shares, str(number)) for number in range(200)})
