Add waiting calls by service and rank to digests

Change: Digest.waiting, an optional last field with the count and the longest wait of each rank in which calls wait. It is encoded only if there is any; then about 8 bytes for each.

Why it holds: boxes of an older version skip further fields of a digest, rows that no box can mean (ranks outside 0 to 9, counts below 1, negative waits) are left out when it is read. Tests: both, and unchanged digests without it.

--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -18,6 +18,7 @@
     LoadReading,
     RetryCount,
     Usage,
+    WaitingCalls,
     WatcherHeartbeat,
     Work,
 )
@@ -42,7 +43,7 @@
     `learned` counts the holdings that engines reported to the sender at its start; a starting
     box may pull them.  `cases_fingerprint` identifies the sender's set of requests that end
     engines, 0 if it is empty.  `retries` is what the sender spent of its retry budgets lately, for
-    the time after its restart.
+    the time after its restart.  `waiting` counts the calls that wait at the sender.
 
     The other fields are relayed, whichever box they came from: `held` names the chats that
     engines processed recently, `readings` the load that engines reported, `reports` the failed
@@ -74,6 +75,7 @@
     evacuations_version: int = 0
     cases_fingerprint: int = 0
     retries: tuple[RetryCount, ...] = ()
+    waiting: tuple[WaitingCalls, ...] = ()
 
     @property
     def full(self) -> bool:
--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -14,7 +14,7 @@
 
 from seamhold_membership import Digest, Event, EventKind
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import NO_WORK, RetryCount, Usage, Work
+from seamhold_messages.work import NO_WORK, RANKS, RetryCount, Usage, WaitingCalls, Work
 
 from .names import NameTable, pack, pack_names, unpack
 from .update_codec import (
@@ -36,6 +36,7 @@
 #: Bits of the hash of the sender's incarnation in a digest that is not full.
 START_BITS = 14
 TENTHS = 10
+HUNDREDTHS = 100
 
 
 class EventPart(Struct, frozen=True, array_like=True):
@@ -75,6 +76,18 @@
     first_attempts: list[int]
 
 
+class WaitingColumns(Struct, frozen=True, array_like=True):
+    """Waiting calls per service and rank; the hashes of the services' names are packed.
+
+    `oldest_hundredths` is how long the oldest of them has waited, in hundredths of a second.
+    """
+
+    services: bytes
+    ranks: list[int]
+    calls: list[int]
+    oldest_hundredths: list[int]
+
+
 class DigestPart(Struct, frozen=True, array_like=True):
     """The wire format of a digest.
 
@@ -123,6 +136,12 @@
     retries: RetryColumns | None = None
 
 
+class DigestPartWithWaiting(DigestPartWithRetries, frozen=True, array_like=True):
+    """A digest of a box at which calls wait."""
+
+    waiting: WaitingColumns | None = None
+
+
 def start_key(incarnation: str) -> int:
     """Return START_BITS bits that distinguish one start of a box from another."""
     return hash32(incarnation) % 2**START_BITS
@@ -153,20 +172,23 @@
         None if digest.store_age is None else age_steps(digest.store_age),
         heartbeat_columns(digest.watchers),
     )
-    if digest.retries or digest.cases_fingerprint:
+    has_retries = bool(digest.retries or digest.waiting)
+    if has_retries or digest.cases_fingerprint:
         fields = (*astuple(part), digest.evacuations_version, digest.cases_fingerprint)
         part = DigestPartWithCases(*fields)
     elif digest.evacuations_version:
         fields = (*astuple(part), digest.evacuations_version)
         part = DigestPartWithEvacuations(*fields)
-    if digest.retries:
+    if has_retries:
         fields = (*astuple(part), _retry_columns(digest.retries))
         part = DigestPartWithRetries(*fields)
+    if digest.waiting:
+        part = DigestPartWithWaiting(*astuple(part), _waiting_columns(digest.waiting))
     return _ENCODER.encode(part)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(DigestPartWithRetries)
+_DECODER = msgspec.msgpack.Decoder(DigestPartWithWaiting)
 
 
 def _load_columns(loads: dict[str, Work]) -> LoadColumns | None:
@@ -196,7 +218,9 @@
     )
 
 
-def _retry_columns(counts: tuple[RetryCount, ...]) -> RetryColumns:
+def _retry_columns(counts: tuple[RetryCount, ...]) -> RetryColumns | None:
+    if not counts:
+        return None
     return RetryColumns(
         pack(count.service_key for count in counts),
         [count.retries for count in counts],
@@ -204,6 +228,15 @@
     )
 
 
+def _waiting_columns(waiting: tuple[WaitingCalls, ...]) -> WaitingColumns:
+    return WaitingColumns(
+        pack(one.service_key for one in waiting),
+        [one.rank for one in waiting],
+        [one.calls for one in waiting],
+        [int(one.oldest * HUNDREDTHS) for one in waiting],
+    )
+
+
 def _event_parts(events: list[Event]) -> list[EventPart] | None:
     return [
         EventPart(event.kind, event.subject, event.incarnation, event.origin) for event in events
@@ -227,7 +260,7 @@
         except (msgspec.MsgspecError, struct.error, RecursionError):
             return None
 
-    def _sender(self, part: DigestPartWithRetries) -> tuple[str, str]:
+    def _sender(self, part: DigestPartWithWaiting) -> tuple[str, str]:
         """Return the box and its incarnation, '' each if they are unknown."""
         if isinstance(part.box, str):
             sender = (part.box, str(part.start))
@@ -238,7 +271,7 @@
             return ('', '')
         return (box, incarnation)
 
-    def _decode(self, part: DigestPartWithRetries, box: str, incarnation: str) -> Digest:
+    def _decode(self, part: DigestPartWithWaiting, box: str, incarnation: str) -> Digest:
         return Digest(
             box,
             incarnation,
@@ -263,6 +296,7 @@
             part.evacuations_version,
             part.cases_fingerprint,
             self._retries(part.retries),
+            self._waiting(part.waiting),
         )
 
     @staticmethod
@@ -272,6 +306,19 @@
         rows = zip(unpack(part.services), part.retries, part.first_attempts, strict=False)
         return tuple(RetryCount(*row) for row in rows)
 
+    @staticmethod
+    def _waiting(part: WaitingColumns | None) -> tuple[WaitingCalls, ...]:
+        """Return the waiting calls without the rows that no box can mean."""
+        if part is None:
+            return ()
+        keys = unpack(part.services)
+        rows = zip(keys, part.ranks, part.calls, part.oldest_hundredths, strict=False)
+        return tuple(
+            WaitingCalls(key, rank, calls, oldest / HUNDREDTHS)
+            for key, rank, calls, oldest in rows
+            if 0 <= rank < RANKS and calls > 0 and oldest >= 0
+        )
+
     def _loads(self, part: LoadColumns | None) -> dict[str, Work]:
         if part is None:
             return {}
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -1,5 +1,6 @@
 """Digests between boxes: full, relative to a base, lost, duplicated and reordered."""
 
+import msgspec
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,9 +15,10 @@
 )
 from seamhold_messages.fleet import Box
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import BoxRetries, Holding, RetryCount, Usage, Work
+from seamhold_messages.work import BoxRetries, Holding, RetryCount, Usage, WaitingCalls, Work
 from seamhold_peers import DigestReader, EncodedDigest, NameTable
 from seamhold_peers.datagrams import DATAGRAM_MAX_BYTES
+from seamhold_peers.digest_codec import DigestPartWithRetries
 from seamhold_routing import Router, Versions
 
 LOADS = st.dictionaries(
@@ -40,6 +42,28 @@
         self.assertEqual(1, size - EncodedDigest(Digest('b', 'x')).size)
 
 
+class TestWaitingCallsInDigests(testtools.TestCase):
+    def test_they_are_encoded_only_if_calls_wait_and_older_boxes_skip_them(self):
+        reader = DigestReader(NameTable())
+        waiting = (
+            WaitingCalls(hash32('app'), 0, 9, 0.25),
+            WaitingCalls(hash32('app'), 9, 300, 2.5),
+        )
+        digest = Digest('b', 'x', cases_fingerprint=5, waiting=waiting)
+        data = EncodedDigest(digest).data
+        self.assertEqual(digest, reader.read(data))
+        self.assertEqual(
+            5, msgspec.msgpack.decode(data, type=DigestPartWithRetries).cases_fingerprint
+        )
+        self.assertLess(EncodedDigest(digest).size - EncodedDigest(Digest('b', 'x')).size, 40)
+
+    def test_rows_that_no_box_can_mean_are_left_out(self):
+        rows = [(10, 1, 0.0), (-1, 1, 0.0), (0, 0, 0.0), (0, -5, 0.0), (0, 1, -1.0), (1, 2, 0.5)]
+        waiting = tuple(WaitingCalls(7, *row) for row in rows)
+        read = DigestReader(NameTable()).read(EncodedDigest(Digest('b', 'x', waiting=waiting)).data)
+        self.assertEqual((WaitingCalls(7, 1, 2, 0.5),), read.waiting)
+
+
 class TestRetriesInDigests(testtools.TestCase):
     def test_what_a_box_spent_of_its_retry_budgets_is_encoded_only_if_there_is_any(self):
         reader = DigestReader(NameTable())
