Use predictive admission in boxes if the settings ask for it

Change: placement.predictive_admission (off) turns it on, with waiting calls reported in digests; placement.start_within_objective (off) compares the predicted start with the call's objective instead of its deadline. A new arrival waits up to 0.05 s, although there is room, for calls of its own or a more urgent rank that wait elsewhere for 0.1 s or more.

Why it holds: counts hold nothing back after 0.5 s, and the pause between holds doubles up to 5 s while the room stays unused. Tests: a box that always reports a million waiting calls, counts out of date, late digests, stalled engines, a call sent before. The older queue tests pass unchanged.

--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -17,10 +17,19 @@
 )
 from seamhold_messages.fleet import Phase
 from seamhold_messages.hashing import HASH32_SPAN, hash32
-from seamhold_messages.work import Call, Decision, Placed, Priority, Queued, Refused
+from seamhold_messages.work import (
+    Call,
+    Decision,
+    Placed,
+    Priority,
+    Queued,
+    Refused,
+    WaitingCalls,
+)
 from seamhold_placement import Chooser, ColdShares
 from seamhold_settings import Tree
 
+from .backlogs import Backlogs
 from .beliefs import Belief, Sign
 from .exchange import FleetState, PeerExchange
 from .plans import plan_for
@@ -68,6 +77,7 @@
         self._tree = Tree()
         self._services: dict[str, ServiceRouter] = {}
         self._active: dict[str, _ActiveCall] = {}
+        self._backlogs = Backlogs(state.backlogs, state.counts)
 
     def __len__(self) -> int:
         """Return the number of calls that are placed or wait."""
@@ -93,6 +103,11 @@
         self._tree = tree
         for name, service in self._services.items():
             service.use_plan(plan_for(tree, name))
+        self._backlogs.use_settings(tree.fleet.placement)
+
+    def waiting_calls(self, now: float) -> tuple[WaitingCalls, ...]:
+        """Return the calls that wait for any slot, as peers are told."""
+        return self._backlogs.report(now)
 
     # One call.
 
@@ -119,7 +134,7 @@
         self._active[call.id].patience_ends = now + service.plan.patience
         if len(service.queue) and call.version is None:
             return self._enqueue(service, call, now)
-        return self._place_or_wait(service, call, now)
+        return self._place_or_wait(service, call, now, arrives=True)
 
     def _may_wait_for_rest(self, call: Call, now: float) -> bool:
         """Whether a resting engine takes work again well within the call's objective."""
@@ -143,8 +158,13 @@
         detail = f'no live engine of this service has software version {call.version}'
         return NoEngine(detail, NO_ENGINE_RETRY_SECONDS)
 
-    def _place_or_wait(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
-        """Place the call now, or let it wait for the engine that holds its cache or for any."""
+    def _place_or_wait(
+        self, service: ServiceRouter, call: Call, now: float, arrives: bool = False
+    ) -> list[Decision]:
+        """Place the call now, or let it wait for the engine that holds its cache or for any.
+
+        One that `arrives` may have to wait for more urgent ones at other boxes.
+        """
         placed = service.place(call, now)
         if placed is None:
             if service.learns_concurrency(now):
@@ -154,14 +174,29 @@
         if has_patience and placed.spilled:
             service.waiting_for_holder.append(call.id)
             return [Queued(call.id)]
+        if arrives and self._holds_back(service, call, now):
+            return self._enqueue(service, call, now)
+        service.queue.record_direct(call, now)
         return [self._start(placed, call, now)]
 
-    def _enqueue(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
+    def _holds_back(self, service: ServiceRouter, call: Call, now: float) -> bool:
+        """Whether a new call has to wait for calls at other boxes, although there is room for it.
+
+        With learned limits a call waits elsewhere for that box's own limit, not for this room.
+        """
+        if call.version is not None or service.learns_concurrency(now):
+            return False
+        return self._backlogs.holds_back(call, now)
+
+    def _enqueue(
+        self, service: ServiceRouter, call: Call, now: float, sent: bool = False
+    ) -> list[Decision]:
+        """Let a call wait for any slot; `sent` states that an attempt of it was made before."""
         if call.version is not None:
             return self._wait_for_version(service, call)
         workspace = self._tree.workspaces.get(call.workspace)
         weight = workspace.weight if workspace else 1.0
-        refused = service.queue.offer(call, now, weight)
+        refused = service.queue.offer(call, now, weight, sent)
         for refusal in refused:
             self._forget(refusal.call_id)
         own = [refusal for refusal in refused if refusal.call_id == call.id]
@@ -190,6 +225,7 @@
                 self._cold_shares,
             )
             service.use_plan(plan_for(self._tree, name))
+            self._backlogs.add_queue(name, service.queue)
             self._services[name] = service
         return service
 
@@ -266,7 +302,7 @@
             left = active.call.excluded - {full_engine}
             active.call = replace(active.call, excluded=left)
             service.record_full(full_engine, now)
-        return self._count(self._enqueue(service, active.call, now))
+        return self._count(self._enqueue(service, active.call, now, sent=True))
 
     def exclude(self, call_id: str, engine: str) -> None:
         """Exclude `engine` from further attempts of the call."""
@@ -287,7 +323,7 @@
         if active is None:
             return []
         service = self._service(active.call.service)
-        service.queue.remove(call_id)
+        service.queue.remove(call_id, cancelled_at=now)
         if active.engine:
             sent_at = active.sent_at
             self._state.loads.finish(active.engine, active.call.work, now, sent_at)
@@ -305,9 +341,10 @@
     def next_due(self, now: float) -> float:
         """Return when waiting calls must be checked next, infinity if none waits."""
         due = math.inf
-        for service in self._services.values():
+        for name, service in self._services.items():
             if len(service.queue) or service.waiting_for_version:
-                due = min(due, now + QUEUE_CHECK_SECONDS)
+                check = now + QUEUE_CHECK_SECONDS
+                due = min(due, self._backlogs.hold_ends(name, now, otherwise=check))
             for call_id in service.waiting_for_holder:
                 active = self._active.get(call_id)
                 due = min(due, active.patience_ends if active else now)
@@ -368,13 +405,19 @@
             self._forget(refusal.call_id)
         if not service.any_engine(now):
             decisions += self._refuse_while_resting(service, now)
+        if self._backlogs.is_held(service.name, now):
+            return decisions
         for call in service.queue.peek(now):
             placed = service.place(call, now)
+            self._backlogs.record_room(service.name, placed is not None)
             if placed is None:
                 break
             service.queue.remove(call.id, now)
             decisions.append(self._start(placed, call, now))
-        return decisions
+        rejected = service.queue.reject_unservable(now)
+        for refusal in rejected:
+            self._forget(refusal.call_id)
+        return [*decisions, *rejected]
 
     def _refuse_while_resting(self, service: ServiceRouter, now: float) -> list[Decision]:
         """Refuse the waiting calls for which all rests end too late."""
@@ -384,7 +427,7 @@
         for call in service.queue.peek(now):
             if self._may_wait_for_rest(call, now):
                 continue
-            service.queue.remove(call.id)
+            service.queue.remove(call.id, cancelled_at=now)
             self._forget(call.id)
             error = self._no_engine(call, '', now)
             refused.append(Refused(call.id, error.code, error.detail, error.retry_after))
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct, field
 
-from seamhold_limits import WorkspaceLimits
+from seamhold_limits import PeerBacklogs, WorkspaceLimits
 from seamhold_membership import (
     BoxView,
     Digest,
@@ -23,6 +23,7 @@
     LoadReading,
     RetryCount,
     Suspect,
+    WaitingCalls,
     WatcherHeartbeat,
 )
 from seamhold_placement import HolderTable, LoadTable
@@ -76,6 +77,7 @@
     counts: Counter[str] = field(default_factory=Counter)
     #: Changes of belief that have not been logged yet.
     beliefs: list[Belief] = field(default_factory=list)
+    backlogs: PeerBacklogs = field(default_factory=PeerBacklogs)
 
 
 class PeerExchange:
@@ -112,6 +114,7 @@
         if full is not None:
             state.loads.set_peer(digest.box, full.loads)
             state.limits.set_peer(digest.box, full.usage, full.ack)
+            state.backlogs.set_peer(digest.box, full.waiting, now)
         if digest.retries:
             self._retries[digest.box] = _RetryReport(digest.incarnation, digest.retries, now)
         self._apply_updates(digest, now)
@@ -214,6 +217,7 @@
         for name in silent:
             self._report_gone(name, now)
             self._state.loads.drop_peer(name)
+            self._state.backlogs.drop_peer(name)
             self._receiver.forget(name)
             self._sender.forget(name)
 
@@ -243,6 +247,7 @@
         versions: Versions,
         now: float,
         retries: tuple[RetryCount, ...] = (),
+        waiting: tuple[WaitingCalls, ...] = (),
     ) -> list[Digest]:
         """Return the next digest for each of `peers`, in their order."""
         state = self._state
@@ -262,6 +267,7 @@
             learned=len(state.holders.learned),
             cases_fingerprint=state.quarantine.fingerprint,
             retries=retries,
+            waiting=waiting,
             store_age=None if self.store_answered_at is None else now - self.store_answered_at,
         )
         if self.watching:
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -333,7 +333,8 @@
         retries: tuple[RetryCount, ...] = (),
     ) -> list[Digest]:
         """Return the next digest for each of `peers`, in their order."""
-        return self.exchange.digests_for(peers, versions, now, retries)
+        waiting = self._calls.waiting_calls(now)
+        return self.exchange.digests_for(peers, versions, now, retries, waiting)
 
     def digests_sent(self, digests: Iterable[Digest]) -> None:
         """Record that digests were sent."""
