Show rejections by reason and held calls on the metrics page

Cause: the router's counters reach /status only; /metrics shows those of Metrics.

Change: with each report of the engines' use, the growth of the counters `rejected.*` and `held.*` is added to the metrics.

Why it holds: a test records the counters twice and finds each rejection once.

--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -6,7 +6,7 @@
 
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 
 from seamhold_attempts.retry import REFUSALS, Outcome
@@ -106,6 +106,8 @@
         #: Called with each check: how many engines of each service are in use.
         self.on_engine_uses: Callable[[list[ServiceUse]], None] | None = None
         self._next_use_report = 0.0
+        #: Called with the router's counters after each report of the engines' use.
+        self.on_counts: Callable[[Mapping[str, int]], None] | None = None
         #: When this box itself last connected to an engine; set by the task that connects.
         self.engine_reached_at = math.inf
         #: Returns what this box spent of its retry budgets.
@@ -225,6 +227,8 @@
         if self.on_engine_uses is not None and now >= self._next_use_report:
             self._next_use_report = now + CHECK_SECONDS
             self.on_engine_uses(self._router.engine_uses(now))
+            if self.on_counts is not None:
+                self.on_counts(self._router.counts)
 
     def _set_watch_role(self, watches: bool) -> None:
         if watches != self.watches_store:
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -30,6 +30,7 @@
 from ..metrics import Metrics
 from ..peering import Peering
 from ..ports import Dialect
+from ..queue_counts import QueueCounts
 from ..runner import Runner
 from ..settings_task import SettingsTask
 from ..status import ExitStatus
@@ -144,6 +145,7 @@
         )
         self.decider.on_boxes = self._boxes_changed
         self.decider.on_engine_uses = EngineUses(self.metrics).record
+        self.decider.on_counts = QueueCounts(self.metrics).record
         self.gate = Gate(config.threads)
         first_state = FirstState(
             self._has_state, self.peering.wait_ready, lambda: self.decider.store_lost, clock
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -33,6 +33,7 @@
 from .peer_calls import PeerCalls
 from .peer_handler import BoxPeerHandler
 from .peering import Peering
+from .queue_counts import QueueCounts
 from .runner import Runner
 from .settings_follower import SettingsFollower
 from .settings_task import SettingsTask
@@ -62,6 +63,7 @@
         )
         self.decider = Decider(Router(config.box, self.incarnation), clock)
         self.decider.on_engine_uses = EngineUses(self.metrics).record
+        self.decider.on_counts = QueueCounts(self.metrics).record
         self.settings_task = SettingsTask(self.metrics, self._settings_changed)
         self.claims = ClaimWriter(self.platform, environment, self.metrics, self._control)
         self.tickets = TicketTask(TicketStore(config.box, self.incarnation), clock)
--- a/tests/test_predictive_admission.py
+++ b/tests/test_predictive_admission.py
@@ -8,6 +8,8 @@
 
 import testtools
 
+from seamhold.metrics import Metrics
+from seamhold.queue_counts import QueueCounts
 from seamhold_attempts.retry import Outcome
 from seamhold_limits import PeerBacklogs
 from seamhold_limits.peer_backlog import HOLD_SECONDS, REPORT_SECONDS
@@ -165,6 +167,15 @@
         early = [one for step in range(19) for one in self.router.tick(1.0 + 0.05 * step)]
         self.assertEqual([], [one for one in early if isinstance(one, Refused)])
 
+    def test_rejections_by_reason_reach_the_metrics_once(self):
+        self.fill(6)
+        self.router.tick(1.9)
+        metrics = Metrics()
+        queue_counts = QueueCounts(metrics)
+        for _ in range(2):
+            queue_counts.record(self.router.counts)
+        self.assertEqual({'rejected.predicted_while_waiting': 2}, metrics.counts())
+
     def test_waiting_calls_are_reported_by_rank_only_with_the_setting(self):
         self.fill(6)
         self.admit('urgent', 1.1, workspace_priority=0)
