Shorten the tests of predictive admission

The fleet of queued servers makes its calls in a method of its own, so that callers of several ranks only change the workspace. No check is changed.

--- a/tests/test_predictive_admission.py
+++ b/tests/test_predictive_admission.py
@@ -7,6 +7,7 @@
 from statistics import mean
 
 import testtools
+from msgspec.structs import replace
 
 from seamhold.metrics import Metrics
 from seamhold.queue_counts import QueueCounts
@@ -79,39 +80,31 @@
         self.router.use_settings(Tree(FleetSpec(placement=placement)))
 
     def admit(self, call_id: str, now: float, workspace_priority: int = 1, seconds: float = 1.0):
-        call = Call(
-            call_id,
-            'w',
-            'app',
-            call_id,
-            Work(1, 1),
-            now + seconds,
-            sticky=False,
-            workspace_priority=workspace_priority,
-        )
-        return self.router.admit(call, now)
+        call = Call(call_id, 'w', 'app', call_id, Work(1, 1), now + seconds, sticky=False)
+        call = replace(call, workspace_priority=workspace_priority)
+        return self.router.admit(call, now)[0]
 
     def hear(self, now: float, *waiting: WaitingCalls, seq: int = 1) -> None:
         self.router.receive_digest(Digest('peer', 'x', seq=seq, waiting=waiting), now)
 
     def test_an_arrival_waits_for_calls_of_its_rank_that_wait_elsewhere_for_long(self):
         self.hear(1.0, WaitingCalls(SERVICE_KEY, 4, 3, 0.2))
-        self.assertIsInstance(self.admit('same', 1.0)[0], Queued)
+        self.assertIsInstance(self.admit('same', 1.0), Queued)
         self.assertEqual([], self.router.tick(1.02))
         self.assertIsInstance(self.router.tick(self.router.next_due(1.02))[0], Placed)
 
     def test_a_more_urgent_arrival_or_one_after_short_waits_starts(self):
         self.hear(1.0, WaitingCalls(SERVICE_KEY, 4, 3, 0.2), WaitingCalls(SERVICE_KEY, 0, 1, 0.05))
-        self.assertIsInstance(self.admit('urgent', 1.0, workspace_priority=0)[0], Placed)
+        self.assertIsInstance(self.admit('urgent', 1.0, workspace_priority=0), Placed)
 
     def test_counts_out_of_date_hold_nothing_back(self):
         self.hear(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
-        self.assertIsInstance(self.admit('later', 1.6)[0], Placed)
+        self.assertIsInstance(self.admit('later', 1.6), Placed)
 
     def test_a_late_or_duplicated_digest_does_not_bring_counts_back(self):
         self.hear(1.0, seq=2)
         self.hear(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2), seq=1)
-        self.assertIsInstance(self.admit('next', 1.0)[0], Placed)
+        self.assertIsInstance(self.admit('next', 1.0), Placed)
 
     def test_a_hold_ends_with_the_wait_elsewhere(self):
         self.hear(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
@@ -126,7 +119,7 @@
             now = 1.0 + 0.05 * step
             self.hear(now, WaitingCalls(SERVICE_KEY, 0, 10**6, 9.0), seq=step + 1)
             self.router.tick(now)
-            held += isinstance(self.admit(f'{step}', now)[0], Queued)
+            held += isinstance(self.admit(f'{step}', now), Queued)
             self.router.tick(now + HOLD_SECONDS)
             self.router.attempt_ended(f'{step}', Outcome.DONE, now + HOLD_SECONDS)
             self.router.close(f'{step}', now + HOLD_SECONDS)
--- a/tests/utils/queued_servers.py
+++ b/tests/utils/queued_servers.py
@@ -64,10 +64,10 @@
             server.slowness = SLOW_FACTOR if self._rng.random() < SLOW_SHARE else 1.0
         self._at(self.now + SPEED_SECONDS, self._change_speeds)
 
-    def _call(self, box: GossipBox) -> None:
+    def _new_call(self) -> Call:
         call_id = f'call-{next(self._ids)}'
         deadline = self.now + DEADLINE_SECONDS
-        call = Call(
+        return Call(
             call_id,
             'w',
             SERVICE,
@@ -77,8 +77,11 @@
             sticky=False,
             objective=OBJECTIVE_SECONDS,
         )
-        self._calls[call_id] = call
-        self._arrived_at[call_id] = self.now
+
+    def _call(self, box: GossipBox) -> None:
+        call = self._new_call()
+        self._calls[call.id] = call
+        self._arrived_at[call.id] = self.now
         self._handle_decisions(box, box.router.admit(call, self.now))
 
     def _handle_decisions(self, box: GossipBox, decisions: list[Decision]) -> None:
--- a/tests/utils/ranked_callers.py
+++ b/tests/utils/ranked_callers.py
@@ -5,12 +5,11 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from seamhold_messages.work import Call, Decision, Placed, Refused, Work
+from seamhold_messages.work import Call, Decision, Placed, Refused
 from seamhold_settings import Tree
 
-from .delayed_fleet import SERVICE
 from .gossip_fleet import GossipBox
-from .queued_servers import DEADLINE_SECONDS, OBJECTIVE_SECONDS, QueuedServers
+from .queued_servers import OBJECTIVE_SECONDS, QueuedServers
 
 #: Share of an objective for which a call may be held without a cost.
 FREE_SHARE = 0.125
@@ -44,24 +43,11 @@
             )
             box.router.use_settings(Tree(replace(fleet, placement=placement)))
 
-    def _call(self, box: GossipBox) -> None:
-        call_id = f'call-{next(self._ids)}'
+    def _new_call(self) -> Call:
         level = self._rng.randrange(WORKSPACE_PRIORITIES)
-        call = Call(
-            call_id,
-            f'w{level}',
-            SERVICE,
-            call_id,
-            Work(1, 1),
-            self.now + DEADLINE_SECONDS,
-            sticky=False,
-            objective=OBJECTIVE_SECONDS,
-            workspace_priority=level,
-        )
-        self._calls[call_id] = call
-        self._arrived_at[call_id] = self.now
-        self._ranked[call_id] = (self.now, call.rank)
-        self._handle_decisions(box, box.router.admit(call, self.now))
+        call = replace(super()._new_call(), workspace=f'w{level}', workspace_priority=level)
+        self._ranked[call.id] = (self.now, call.rank)
+        return call
 
     def _handle_decisions(self, box: GossipBox, decisions: list[Decision]) -> None:
         for decision in decisions:
@@ -94,7 +80,3 @@
         """Return the fraction of calls that were refused after being held for long."""
         held = [one for one in self.refusals(since) if one.seconds > FREE_SHARE * OBJECTIVE_SECONDS]
         return len(held) / sum(one.at >= since for one in self.endings)
-
-    def count(self, name: str) -> int:
-        """Return a counter, added up over all boxes."""
-        return sum(box.router.counts[name] for box in self.boxes.values())
