Never reject a call that is held back for calls at other boxes

Cause: there is room for a held call, but its prediction could use an earlier stall or slow pace of this box, and reject it; with queue_calls 0 a held call was rejected as queue_full.

Change: WaitQueue.offer takes the time until which a call is exempt: the end of its hold, or no end where an attempt was made before.

Why it holds: the new test fails without the exemption.

--- a/packages/limits/seamhold_limits/backlog.py
+++ b/packages/limits/seamhold_limits/backlog.py
@@ -146,15 +146,15 @@
 
 
 class Expectation(Struct, frozen=True):
-    """What the prediction needs to know of a waiting call; `sent` if an attempt was made before.
+    """What the prediction needs to know of a waiting call.
 
-    `latest_start` is its deadline, or an earlier time after which it is of no use.  A call that
-    `arrives` has not waited yet.
+    An `exempt` call is not rejected.  `latest_start` is its deadline, or an earlier time after
+    which it is of no use.  A call that `arrives` has not waited yet.
     """
 
     rank: int
     latest_start: float
-    sent: bool = False
+    exempt: bool = False
     arrives: bool = False
 
 
@@ -168,8 +168,7 @@
 
     `waiting` is in the order of placement, `elsewhere` gives the calls ahead by rank.  A call
     that is rejected does not count for those behind it, so the fewest possible are rejected: the
-    last ones in order, and those whose deadlines are too early for their place.  A call that was
-    sent before is never rejected, since it may have run.
+    last ones in order, and those whose deadlines are too early for their place.
     """
     rejected = []
     ahead = 0
@@ -180,7 +179,7 @@
         wait = seconds_until_start(ahead, pace, by_rank[call.rank], call.rank)
         if call.arrives:
             wait *= ARRIVAL_MARGIN
-        if now + wait > call.latest_start and not call.sent:
+        if now + wait > call.latest_start and not call.exempt:
             rejected.append(position)
         else:
             ahead += 1
--- a/packages/limits/seamhold_limits/queue.py
+++ b/packages/limits/seamhold_limits/queue.py
@@ -13,6 +13,7 @@
 start is past their deadline are rejected (see `backlog`), and a full queue loses its last call.
 """
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from itertools import groupby
@@ -45,8 +46,8 @@
     call: Call
     at: float
     start: float
-    #: Whether an attempt was made before: such a call may have run.
-    sent: bool = False
+    #: Until then it is not rejected by prediction or displaced.
+    exempt_until: float = -math.inf
 
 
 def _nothing_elsewhere(rank: int, now: float) -> Elsewhere:
@@ -91,14 +92,15 @@
         return self._interval * (len(self._waiting) + 1)
 
     def offer(
-        self, call: Call, now: float, weight: float = 1.0, sent: bool = False
+        self, call: Call, now: float, weight: float = 1.0, exempt_until: float = -math.inf
     ) -> list[Refused]:
         """Queue `call`; return the refusals of it or of calls that it displaced, if any.
 
-        `sent` states that an attempt of it was made before.
+        Until `exempt_until` it is not rejected by prediction or displaced: it was sent before and
+        may have run, or there was room for it.
         """
         if self.predictive:
-            return self._offer_by_rank(call, now, weight, sent)
+            return self._offer_by_rank(call, now, weight, exempt_until)
         wait = self.expected_wait()
         if now + wait > call.deadline:
             self.counts['rejected.predicted_on_arrival'] += 1
@@ -119,11 +121,13 @@
         self._waiting.append(_Waiting(call, now, start))
         return refused
 
-    def _offer_by_rank(self, call: Call, now: float, weight: float, sent: bool) -> list[Refused]:
+    def _offer_by_rank(
+        self, call: Call, now: float, weight: float, exempt_until: float
+    ) -> list[Refused]:
         self._rate.advance(bool(self._waiting), now)
         tag = (call.rank, call.workspace)
         start = max(self._rank_times[call.rank], self._rank_tags[tag])
-        arrival = _Waiting(call, now, start, sent)
+        arrival = _Waiting(call, now, start, exempt_until)
         self._waiting.append(arrival)
         rejected = self._unservable(now, arrival)
         refused = [self._reject(waiting, arrival, now) for waiting in rejected]
@@ -135,14 +139,14 @@
         return refused
 
     def _reject_last(self, arrival: _Waiting, now: float) -> list[Refused]:
-        """Remove the last call in order that was never sent, because the queue is full.
+        """Remove the last call in order that is not exempt, because the queue is full.
 
-        Returns its refusal.  Where all were sent before, the queue exceeds its size.
+        Returns its refusal.  Where all are exempt, the queue exceeds its size.
         """
-        unsent = [waiting for waiting in self._in_order(now) if not waiting.sent]
-        if not unsent:
+        may_go = [waiting for waiting in self._in_order(now) if waiting.exempt_until < now]
+        if not may_go:
             return []
-        last = unsent[-1]
+        last = may_go[-1]
         self._waiting.remove(last)
         reason = 'rejected.queue_full' if last is arrival else 'rejected.displaced'
         self._count_unserved(reason, last, now)
@@ -160,7 +164,10 @@
         in_order = self._in_order(now)
         expected = [
             Expectation(
-                waiting.call.rank, self._latest_start(waiting), waiting.sent, waiting is arrival
+                waiting.call.rank,
+                self._latest_start(waiting),
+                now <= waiting.exempt_until,
+                waiting is arrival,
             )
             for waiting in in_order
         ]
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -13,6 +13,9 @@
     BULK = 2
 
 
+#: Number of priorities; `len` of an enumeration takes several times as long.
+PRIORITIES = len(Priority)
+
 #: Number of ranks in which calls wait.
 RANKS = 10
 
@@ -75,7 +78,7 @@
     @property
     def rank(self) -> int:
         """Place in the order of calls, 0 first: by workspace priority, then by route priority."""
-        return min(RANKS - 1, self.workspace_priority * len(Priority) + self.priority)
+        return min(RANKS - 1, self.workspace_priority * PRIORITIES + self.priority)
 
 
 class Holding(Struct, frozen=True):
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -175,7 +175,8 @@
             service.waiting_for_holder.append(call.id)
             return [Queued(call.id)]
         if arrives and self._holds_back(service, call, now):
-            return self._enqueue(service, call, now)
+            hold_ends = self._backlogs.hold_ends(service.name, now, otherwise=now)
+            return self._enqueue(service, call, now, exempt_until=hold_ends)
         service.queue.record_direct(call, now)
         return [self._start(placed, call, now)]
 
@@ -189,14 +190,14 @@
         return self._backlogs.holds_back(call, now)
 
     def _enqueue(
-        self, service: ServiceRouter, call: Call, now: float, sent: bool = False
+        self, service: ServiceRouter, call: Call, now: float, exempt_until: float = -math.inf
     ) -> list[Decision]:
-        """Let a call wait for any slot; `sent` states that an attempt of it was made before."""
+        """Let a call wait for any slot; until `exempt_until` no prediction rejects it."""
         if call.version is not None:
             return self._wait_for_version(service, call)
         workspace = self._tree.workspaces.get(call.workspace)
         weight = workspace.weight if workspace else 1.0
-        refused = service.queue.offer(call, now, weight, sent)
+        refused = service.queue.offer(call, now, weight, exempt_until)
         for refusal in refused:
             self._forget(refusal.call_id)
         own = [refusal for refusal in refused if refusal.call_id == call.id]
@@ -302,7 +303,7 @@
             left = active.call.excluded - {full_engine}
             active.call = replace(active.call, excluded=left)
             service.record_full(full_engine, now)
-        return self._count(self._enqueue(service, active.call, now, sent=True))
+        return self._count(self._enqueue(service, active.call, now, exempt_until=math.inf))
 
     def exclude(self, call_id: str, engine: str) -> None:
         """Exclude `engine` from further attempts of the call."""
--- a/tests/test_predictive_admission.py
+++ b/tests/test_predictive_admission.py
@@ -93,6 +93,16 @@
         self.assertEqual([], self.router.tick(1.02))
         self.assertIsInstance(self.router.tick(self.router.next_due(1.02))[0], Placed)
 
+    def test_a_hold_never_leads_to_a_rejection(self):
+        """Guards against rejecting a call that there was room for, because of an earlier stall."""
+        self.fill(6)
+        self.router.tick(1.9)
+        for number in range(4):
+            self.router.attempt_ended(f'{number}', Outcome.DONE, 1.95)
+        self.hear(2.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
+        self.assertIsInstance(self.admit('held', 2.0, seconds=0.2), Queued)
+        self.assertIsInstance(self.router.tick(self.router.next_due(2.0))[0], Placed)
+
     def test_a_more_urgent_arrival_or_one_after_short_waits_starts(self):
         self.hear(1.0, WaitingCalls(SERVICE_KEY, 4, 3, 0.2), WaitingCalls(SERVICE_KEY, 0, 1, 0.05))
         self.assertIsInstance(self.admit('urgent', 1.0, workspace_priority=0), Placed)
