--- a/packages/router/seamhold/callers.py
+++ b/packages/router/seamhold/callers.py
@@ -18,6 +18,7 @@
 )
 from seamhold_messages.work import Call, Priority, Work
 from seamhold_settings import ResolvedRoute, ServiceKind, Tree, resolve
+from seamhold_settings.forwarding import workspace_priority
 from seamhold_settings.resolve import service_of_model
 
 from . import headers as names
@@ -110,7 +111,7 @@
     body = json.dumps(value).encode()
     sent_headers = {'Content-Type': 'application/json'}
     request = EngineRequest(incoming.id, 'POST', CHAT_PATH, sent_headers, body)
-    call = _call(incoming, route, str(chat or _unnamed_chat_key(messages)), work, now)
+    call = _call(tree, incoming, route, str(chat or _unnamed_chat_key(messages)), work, now)
     return _prepared(incoming, call, request, route, value.get('stream') is True)
 
 
@@ -126,7 +127,7 @@
     request = EngineRequest(incoming.id, incoming.method, path, sent_headers, incoming.body)
     work = Work(1, 1 + len(incoming.body) // BYTES_PER_TOKEN)
     chat = incoming.headers.get(names.CHAT) or incoming.id
-    call = _call(incoming, route, chat, work, now)
+    call = _call(tree, incoming, route, chat, work, now)
     return _prepared(incoming, call, request, route, False)
 
 
@@ -160,7 +161,7 @@
 
 
 def _call(
-    incoming: IncomingRequest, route: ResolvedRoute, chat: str, work: Work, now: float
+    tree: Tree, incoming: IncomingRequest, route: ResolvedRoute, chat: str, work: Work, now: float
 ) -> Call:
     if len(incoming.body) > route.policy.max_body_bytes:
         raise BodyTooLarge(f'this route accepts at most {route.policy.max_body_bytes} bytes')
@@ -173,6 +174,7 @@
         now + _timeout(incoming, route.policy.deadline),
         Priority(route.policy.priority),
         _hint(incoming),
+        workspace_priority=workspace_priority(tree, incoming.workspace),
     )
 
 
--- a/packages/settings/seamhold_settings/forwarding.py
+++ b/packages/settings/seamhold_settings/forwarding.py
@@ -77,9 +77,14 @@
 
     def workspace_priority(self, workspace: str) -> int:
         """Return the workspace's own priority, which outranks a route's; 0 is the highest."""
-        workspace_spec = self._tree.workspaces.get(workspace)
-        priority = workspace_spec.policy.priority if workspace_spec else None
-        return 0 if priority is None else priority
+        return workspace_priority(self._tree, workspace)
+
+
+def workspace_priority(tree: Tree, workspace: str) -> int:
+    """Return a workspace's own priority, 0 if it has none; 0 is the highest."""
+    workspace_spec = tree.workspaces.get(workspace)
+    priority = workspace_spec.policy.priority if workspace_spec else None
+    return 0 if priority is None else priority
 
 
 def choose_service(shares: list[ServiceShare], request_id: str) -> str | None:
