Report demand at brittle services in digests, and spread the sign that they are brittle

Cause: a box could not tell others how many calls it has for a brittle service, and knew that the service is brittle only from its own answers, so an idle or new box did not know at all.

Change: the digest gets one optional field at its end (`SlotReport`), sent only while a service is brittle: the receiver's start as last heard, and per service the demand, the time until the last sign ends, and per engine what the sender holds above its share. A service counts as brittle if peers say so; it stays so while calls of this box wait or run there, because a box without room receives no answers (60 s after the last sign at most).

Why it holds: values, not increments, are sent whole. The remaining time is rounded down, so a sign that boxes relay to each other expires. Without the field the bytes are as before.

--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -8,12 +8,13 @@
 from .outliers import FailureCounts, outliers
 from .reach import EngineReach
 from .relay import GossipBuffer
-from .self_reports import REST_MAX_SECONDS, SelfReports
+from .self_reports import BRITTLE_SECONDS, REST_MAX_SECONDS, SelfReports
 from .unused import ServiceUse, UnusedReason
 from .update_lag import UpdateLag
 from .versions import ServiceVersions, changed_versions
 
 __all__ = [
+    'BRITTLE_SECONDS',
     'REST_MAX_SECONDS',
     'BoxView',
     'ByteBudget',
--- a/packages/membership/seamhold_membership/digest.py
+++ b/packages/membership/seamhold_membership/digest.py
@@ -17,6 +17,7 @@
     Holding,
     LoadReading,
     RetryCount,
+    SlotReport,
     Usage,
     WatcherHeartbeat,
     Work,
@@ -42,7 +43,8 @@
     `learned` counts the holdings that engines reported to the sender at its start; a starting
     box may pull them.  `cases_fingerprint` identifies the sender's set of requests that end
     engines, 0 if it is empty.  `retries` is what the sender spent of its retry budgets lately, for
-    the time after its restart.
+    the time after its restart.  `slots` is the sender's demand at brittle services, whole in each
+    digest; None while no service is brittle.
 
     The other fields are relayed, whichever box they came from: `held` names the chats that
     engines processed recently, `readings` the load that engines reported, `reports` the failed
@@ -74,6 +76,7 @@
     evacuations_version: int = 0
     cases_fingerprint: int = 0
     retries: tuple[RetryCount, ...] = ()
+    slots: SlotReport | None = None
 
     @property
     def full(self) -> bool:
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -15,7 +15,7 @@
 from seamhold_messages.work import Suspect
 
 from .foreign_entries import without_foreign_entries
-from .self_reports import SelfReports
+from .self_reports import BRITTLE_SECONDS, SelfReports
 from .suspicion import Suspicion
 from .unused import ServiceUse, UnusedReason, service_use
 
@@ -29,6 +29,9 @@
 UNUSED_BY_PLAN = frozenset({UnusedReason.LEAVING, UnusedReason.EVACUATED})
 #: Slow start: the shares of its weight that a newly seen engine gets, step by step, before 1.
 RISING_STEPS = (0.25, 0.5, 0.75)
+#: A service of which nothing is heard counts as brittle for at most this long after the last sign,
+#: in seconds: by then a box that is cut off from the others is listed no longer.
+KEEP_BRITTLE_SECONDS = 60.0
 
 
 class _EngineState(Struct):
@@ -87,6 +90,10 @@
         #: Engines that dropped off the list during an outage of the platform.
         self._unlisted: set[str] = set()
         self._self_reports = SelfReports()
+        #: Until when services count as brittle because peers said so.
+        self._brittle_services: dict[str, float] = {}
+        #: Until when services count as brittle because this box has calls that may not run there.
+        self._kept_brittle: dict[str, float] = {}
         self._has_list = False
         self._serving_cache: dict[str, Serving] = {}
 
@@ -176,6 +183,26 @@
     def mark_brittle(self, name: str, brittle: bool, now: float) -> None:
         """Record whether an engine says that it falls over if it turns away many calls."""
         self._self_reports.mark_brittle(name, brittle, now)
+        state = self._states.get(name)
+        if not brittle and state is not None:
+            self._brittle_services.pop(state.engine.service, None)
+            self._kept_brittle.pop(state.engine.service, None)
+
+    def keep_brittle(self, service: str, now: float) -> None:
+        """Record that calls for a brittle service wait, are refused, or run without an answer.
+
+        A box without room there receives no answers, so the lack of a sign tells it nothing.
+        """
+        if self.is_brittle(service, now):
+            latest = self._brittle_until(service) + KEEP_BRITTLE_SECONDS
+            self._kept_brittle[service] = min(now + BRITTLE_SECONDS, latest)
+
+    def mark_service_brittle(self, service_key: int, until: float) -> None:
+        """Record that peers know a service as brittle; its name is given by its hash."""
+        for service in {state.engine.service for state in self._states.values()}:
+            if hash32(service) == service_key:
+                known = self._brittle_services.get(service, -math.inf)
+                self._brittle_services[service] = max(known, until)
 
     def is_brittle(self, service: str, now: float) -> bool:
         """Return whether an engine of the service said lately that it is brittle.
@@ -183,12 +210,28 @@
         The engines of a service become brittle together, and the box may not have heard from
         all of them.
         """
+        until = max(self._brittle_until(service), self._kept_brittle.get(service, -math.inf))
+        return now < until
+
+    def _brittle_until(self, service: str) -> float:
         reports = self._self_reports
-        return any(
-            state.engine.service == service and reports.is_brittle(name, now)
+        said = [
+            reports.brittle_until(name)
             for name in reports.brittle
-            if (state := self._states.get(name)) is not None
-        )
+            if (state := self._states.get(name)) is not None and state.engine.service == service
+        ]
+        return max([self._brittle_services.get(service, -math.inf), *said])
+
+    def brittle_services(self, now: float) -> dict[str, float]:
+        """Return the services that are brittle, with the seconds until their last sign ends."""
+        if not self._brittle_services and not self._self_reports.brittle:
+            return {}
+        services = sorted({state.engine.service for state in self._states.values()})
+        return {
+            service: max(0.0, self._brittle_until(service) - now)
+            for service in services
+            if self.is_brittle(service, now)
+        }
 
     def rest_left(self, service: str, now: float) -> float | None:
         """Return the seconds until the first resting engine of a service takes work again.
--- a/packages/membership/seamhold_membership/self_reports.py
+++ b/packages/membership/seamhold_membership/self_reports.py
@@ -50,6 +50,10 @@
         """Return whether an engine said lately that it is brittle."""
         return now < self._brittle_until.get(name, -math.inf)
 
+    def brittle_until(self, name: str) -> float:
+        """Return until when an engine counts as brittle, minus infinity if it never said so."""
+        return self._brittle_until.get(name, -math.inf)
+
     @property
     def brittle(self) -> Collection[str]:
         """The engines that said that they are brittle, some of them too long ago."""
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -117,6 +117,31 @@
     first_attempts: int
 
 
+class SlotDemand(Struct, frozen=True):
+    """One box's demand for the slots of a brittle service.
+
+    `service_key` is the hash of the service's name, `demand_tenths` the demand in tenths of a
+    call.  `brittle_seconds` is how much longer the service counts as brittle.  `excess` is the
+    number of calls that the box has above its share, by the hash of the engine's name.
+    """
+
+    service_key: int
+    demand_tenths: int
+    brittle_seconds: float
+    excess: dict[int, int]
+
+
+class SlotReport(Struct, frozen=True):
+    """What one box tells another, which it has on its list, of its use of brittle engines.
+
+    `heard_start` is the hash of the receiver's incarnation as the sender last heard it, 0 for
+    none: a report to an earlier start of the receiver must not count for this one.
+    """
+
+    heard_start: int
+    demands: tuple[SlotDemand, ...]
+
+
 class BoxRetries(Struct, frozen=True):
     """What one box spent of its retry budgets, as it said `age` seconds ago."""
 
--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -14,7 +14,7 @@
 
 from seamhold_membership import Digest, Event, EventKind
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import NO_WORK, RetryCount, Usage, Work
+from seamhold_messages.work import NO_WORK, RetryCount, SlotDemand, SlotReport, Usage, Work
 
 from .names import NameTable, pack, pack_names, unpack
 from .update_codec import (
@@ -75,6 +75,20 @@
     first_attempts: list[int]
 
 
+class SlotColumns(Struct, frozen=True, array_like=True):
+    """Demand for slots per brittle service; the hashes of names are packed.
+
+    `engines` and `excess` have one item per service, and a value per engine in it.
+    """
+
+    heard_start: int
+    services: bytes
+    demand_tenths: list[int]
+    brittle_tenths: list[int]
+    engines: list[bytes]
+    excess: list[list[int]]
+
+
 class DigestPart(Struct, frozen=True, array_like=True):
     """The wire format of a digest.
 
@@ -123,6 +137,12 @@
     retries: RetryColumns | None = None
 
 
+class DigestPartWithSlots(DigestPartWithRetries, frozen=True, array_like=True):
+    """A digest of a box that knows of a brittle service."""
+
+    slots: SlotColumns | None = None
+
+
 def start_key(incarnation: str) -> int:
     """Return START_BITS bits that distinguish one start of a box from another."""
     return hash32(incarnation) % 2**START_BITS
@@ -153,20 +173,22 @@
         None if digest.store_age is None else age_steps(digest.store_age),
         heartbeat_columns(digest.watchers),
     )
-    if digest.retries or digest.cases_fingerprint:
+    if digest.slots or digest.retries or digest.cases_fingerprint:
         fields = (*astuple(part), digest.evacuations_version, digest.cases_fingerprint)
         part = DigestPartWithCases(*fields)
     elif digest.evacuations_version:
         fields = (*astuple(part), digest.evacuations_version)
         part = DigestPartWithEvacuations(*fields)
-    if digest.retries:
-        fields = (*astuple(part), _retry_columns(digest.retries))
+    if digest.slots or digest.retries:
+        fields = (*astuple(part), _retry_columns(digest.retries) if digest.retries else None)
         part = DigestPartWithRetries(*fields)
+    if digest.slots:
+        part = DigestPartWithSlots(*astuple(part), _slot_columns(digest.slots))
     return _ENCODER.encode(part)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(DigestPartWithRetries)
+_DECODER = msgspec.msgpack.Decoder(DigestPartWithSlots)
 
 
 def _load_columns(loads: dict[str, Work]) -> LoadColumns | None:
@@ -204,6 +226,19 @@
     )
 
 
+def _slot_columns(report: SlotReport) -> SlotColumns:
+    demands = report.demands
+    return SlotColumns(
+        report.heard_start,
+        pack(one.service_key for one in demands),
+        [one.demand_tenths for one in demands],
+        # Rounded down, so that a sign that boxes relay to each other expires.
+        [int(one.brittle_seconds * TENTHS) for one in demands],
+        [pack(one.excess) for one in demands],
+        [list(one.excess.values()) for one in demands],
+    )
+
+
 def _event_parts(events: list[Event]) -> list[EventPart] | None:
     return [
         EventPart(event.kind, event.subject, event.incarnation, event.origin) for event in events
@@ -227,7 +262,7 @@
         except (msgspec.MsgspecError, struct.error, RecursionError):
             return None
 
-    def _sender(self, part: DigestPartWithRetries) -> tuple[str, str]:
+    def _sender(self, part: DigestPartWithSlots) -> tuple[str, str]:
         """Return the box and its incarnation, '' each if they are unknown."""
         if isinstance(part.box, str):
             sender = (part.box, str(part.start))
@@ -238,7 +273,7 @@
             return ('', '')
         return (box, incarnation)
 
-    def _decode(self, part: DigestPartWithRetries, box: str, incarnation: str) -> Digest:
+    def _decode(self, part: DigestPartWithSlots, box: str, incarnation: str) -> Digest:
         return Digest(
             box,
             incarnation,
@@ -263,6 +298,32 @@
             part.evacuations_version,
             part.cases_fingerprint,
             self._retries(part.retries),
+            self._slots(part.slots),
+        )
+
+    @staticmethod
+    def _slots(part: SlotColumns | None) -> SlotReport | None:
+        if part is None:
+            return None
+        rows = zip(
+            unpack(part.services),
+            part.demand_tenths,
+            part.brittle_tenths,
+            part.engines,
+            part.excess,
+            strict=False,
+        )
+        return SlotReport(
+            part.heard_start,
+            tuple(
+                SlotDemand(
+                    key,
+                    max(0, demand),
+                    brittle / TENTHS,
+                    dict(zip(unpack(engines), excess, strict=False)),
+                )
+                for key, demand, brittle, engines, excess in rows
+            ),
         )
 
     @staticmethod
