Add shares of brittle engines' slots that follow demand

Cause: equal shares of the slots leave most of them unused where demand differs between boxes.

Change: `SlotShares` divides each engine's slots by highest averages of the demand that the listed boxes reported. `split_slots` rounds differently by engine, since with fewer slots than boxes the same boxes had none anywhere. A box that has started has no share until every listed box reported to this start of it.

Why it holds: a box assumes of each other at least the demand that this one counts on (`DemandGrants`), so shares add up to at most the slots.

--- a/packages/limits/seamhold_limits/__init__.py
+++ b/packages/limits/seamhold_limits/__init__.py
@@ -3,6 +3,16 @@
 from .queue import WaitQueue
 from .rate import TokenBucket
 from .share import split_limit
+from .slots import BrittleEngine, BrittleService, SlotShares
 from .workspaces import WorkspaceCaps, WorkspaceLimits
 
-__all__ = ['TokenBucket', 'WaitQueue', 'WorkspaceCaps', 'WorkspaceLimits', 'split_limit']
+__all__ = [
+    'BrittleEngine',
+    'BrittleService',
+    'SlotShares',
+    'TokenBucket',
+    'WaitQueue',
+    'WorkspaceCaps',
+    'WorkspaceLimits',
+    'split_limit',
+]
--- a/packages/limits/seamhold_limits/grants.py
+++ b/packages/limits/seamhold_limits/grants.py
@@ -8,6 +8,7 @@
 may have received it.
 """
 
+import math
 from collections import deque
 
 from msgspec import Struct, field
@@ -40,7 +41,8 @@
 
     def lowest(self, workspace: int) -> float:
         """Return the lowest demand that the peer may assume for this box."""
-        return min(message.demands.get(workspace, 0.0) for message in self.messages)
+        demands = (message.demands.get(workspace, 0.0) for message in self.messages)
+        return min(demands, default=math.inf)
 
 
 class DemandGrants:
@@ -75,6 +77,11 @@
         if peer in self._peers:
             self._peers[peer] = _Peer()
 
+    def await_peer(self, peer: str) -> None:
+        """Expect a peer to assume nothing of this box before it has received a message."""
+        if peer in self._peers:
+            self._peers[peer] = _Peer(deque())
+
     def demand(self, workspace: int, current: float) -> float:
         """Return the demand that this box may use to compute its share."""
         if not self._peers:
--- a/packages/limits/seamhold_limits/share.py
+++ b/packages/limits/seamhold_limits/share.py
@@ -2,6 +2,7 @@
 
 import heapq
 import math
+from collections.abc import Mapping
 
 from msgspec import Struct
 
@@ -9,6 +10,9 @@
 #: of calls, or this fraction of the limit if that is more.
 IDLE_DEMAND = 0.5
 IDLE_FRACTION = 0.02
+#: Added to the offsets of `split_slots`: keeps a box of little weight from coming first because
+#: its offset is nearly zero.
+OFFSET_MIN = 0.02
 
 
 class Demands(Struct, frozen=True):
@@ -52,6 +56,26 @@
     return shares
 
 
+def split_slots(
+    slots: int, weights: Mapping[str, float], offsets: Mapping[str, float]
+) -> dict[str, int]:
+    """Return shares that add up to `slots`, by highest averages.
+
+    As with `split_limit`, a box that assumes more of another gets no more itself, and a box more
+    on the list raises no share.  A box's n-th slot is ranked by its weight over n - 1 plus its
+    offset, from 0 to 1, where that uses a half.
+    """
+    shares = dict.fromkeys(weights, 0)
+    ranks = [(-weight / (offsets[box] + OFFSET_MIN), box) for box, weight in weights.items()]
+    heapq.heapify(ranks)
+    for _ in range(slots):
+        box = ranks[0][1]
+        shares[box] += 1
+        rank = -weights[box] / (shares[box] + offsets[box] + OFFSET_MIN)
+        heapq.heapreplace(ranks, (rank, box))
+    return shares
+
+
 def holds_within_share(limit: int, held: int, demands: Demands) -> bool:
     """Return whether a box's share is at least `held`, without computing the other shares.
 
