Drop the load that a box reported once it is off the platform's list

Cause: a box is dropped for its silence only while it is listed. One that left the list before its neighbours found it silent was counted with its last calls for good, so engines looked full that were not.

Change: the load table drops boxes that leave the list. One that still runs is counted again from its next digest.

Measured (routers on a simulated clock, 8 boxes, 6 engines of 12 slots, one of two busy boxes killed and taken off the list): the other holds 59 to 62 calls after 0.25 s; before, 40 or 41 for the 3.5 s played.

--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -134,7 +134,11 @@
 
     def set_boxes(self, boxes: list[Box], now: float) -> None:
         """Apply the platform's list of boxes."""
+        before = {box.name for box in self.boxes.peers()}
         new = self.boxes.set_list(boxes, now)
+        # A box off the list is no neighbour, so it is never dropped for its silence.
+        for name in before - {box.name for box in boxes}:
+            self.loads.drop_peer(name)
         self._cold_shares.set_boxes(box.name for box in boxes)
         self.exchange.selection.begin(now)
         self._share_limits(now)
