Let the slots of brittle engines follow demand

Cause: the slots of a brittle engine were divided equally among all boxes, so a box that got most of the calls placed 4 of 12 (tests.test_brittle_engines).

Change: routers report their demand, give the reports of peers to `SlotShares` and place within its room; a started process waits for its peers.

Why it holds: the property test plays random demand, lost, late and reordered digests, and boxes that are cut off, killed, restarted and added; no engine is given more calls than its slots. It fails if excess is not counted, or raised demand is used before it is acknowledged.

--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -60,7 +60,9 @@
         self.platform = PlatformClient(
             config.platform_url, on_unnamed=unnamed_object_log('platform'), clock=clock
         )
-        self.decider = Decider(Router(config.box, self.incarnation), clock)
+        router = Router(config.box, self.incarnation)
+        router.slots.wait_for_peers()
+        self.decider = Decider(router, clock)
         self.decider.on_engine_uses = EngineUses(self.metrics).record
         self.settings_task = SettingsTask(self.metrics, self._settings_changed)
         self.claims = ClaimWriter(self.platform, environment, self.metrics, self._control)
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -10,6 +10,7 @@
 from seamhold_membership import ServiceUse
 from seamhold_messages.errors import (
     DeadlinePassed,
+    DeadlineUnmeetable,
     EnginesResting,
     FleetFull,
     NoEngine,
@@ -27,6 +28,8 @@
 from .service import ServiceRouter
 
 NO_ENGINE_RETRY_SECONDS = 1.0
+#: Refusals of calls that more slots would have served.
+NO_ROOM_CODES = frozenset({NoEngine.code, FleetFull.code, DeadlineUnmeetable.code})
 #: A call waits for resting engines if the first rest ends within this share of its objective.
 REST_WAIT_SHARE = 0.5
 #: Callers refused while all engines rest return within this time of the first rest's end, in
@@ -106,8 +109,26 @@
             decisions = self._admit(call, now)
         except SeamholdError as error:
             decisions = [Refused(call.id, error.code, error.detail, error.retry_after)]
+        self._record_no_room(call, decisions[0], now)
         return self._count(decisions)
 
+    def _record_no_room(self, call: Call, decision: Decision, now: float) -> None:
+        """Count a call that a brittle service has no room for towards this box's demand."""
+        if isinstance(decision, Placed) or not self._state.engines.is_brittle(call.service, now):
+            return
+        self._state.engines.keep_brittle(call.service, now)
+        if isinstance(decision, Refused) and decision.code in NO_ROOM_CODES:
+            self._state.slots.record_refusal(hash32(call.service), now)
+            self._state.counts['brittle.no_room'] += 1
+
+    def report_demand(self, now: float) -> None:
+        """Tell the shares of brittle services how many calls run and wait here."""
+        for name, service in self._services.items():
+            if self._state.engines.is_brittle(name, now):
+                self._state.slots.set_calls(hash32(name), service.calls, now)
+                if service.calls:
+                    self._state.engines.keep_brittle(name, now)
+
     def _admit(self, call: Call, now: float) -> list[Decision]:
         service = self._service(call.service)
         if not service.any_engine(now) and not self._may_wait_for_rest(call, now):
@@ -188,6 +209,7 @@
                 self._chooser,
                 self._failure_domain,
                 self._cold_shares,
+                self._state.slots,
             )
             service.use_plan(plan_for(self._tree, name))
             self._services[name] = service
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -4,9 +4,11 @@
 from collections.abc import Iterable
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
-from seamhold_limits import WorkspaceLimits
+from seamhold_limits import BrittleEngine, BrittleService, SlotShares, WorkspaceLimits
 from seamhold_membership import (
+    BRITTLE_SECONDS,
     BoxView,
     Digest,
     DigestReceiver,
@@ -16,12 +18,15 @@
     EventKind,
     EventLog,
 )
-from seamhold_messages.fleet import Phase
+from seamhold_messages.fleet import Engine, Phase
+from seamhold_messages.hashing import hash32
 from seamhold_messages.work import (
     BoxRetries,
     FailureReport,
     LoadReading,
     RetryCount,
+    SlotDemand,
+    SlotReport,
     Suspect,
     WatcherHeartbeat,
 )
@@ -71,6 +76,7 @@
     loads: LoadTable
     holders: HolderTable
     limits: WorkspaceLimits
+    slots: SlotShares
     quarantine: Quarantine = field(default_factory=Quarantine)
     events: EventLog = field(default_factory=EventLog)
     counts: Counter[str] = field(default_factory=Counter)
@@ -78,6 +84,13 @@
     beliefs: list[Belief] = field(default_factory=list)
 
 
+def brittle_engine(engine: Engine) -> BrittleEngine:
+    """Return what the shares of a brittle engine's slots depend on."""
+    return BrittleEngine(
+        hash32(engine.service), engine.name, engine.incarnation or engine.name, engine.slots
+    )
+
+
 class PeerExchange:
     """Builds a box's digests from its fleet state and applies its peers' digests to it."""
 
@@ -108,10 +121,12 @@
             self._sender.forget(digest.box)
             state.limits.reset_peer(digest.box)
         self._sender.record_ack(digest.box, digest.ack)
+        state.slots.heard(digest.box)
         full = self._receiver.receive(digest)
         if full is not None:
             state.loads.set_peer(digest.box, full.loads)
             state.limits.set_peer(digest.box, full.usage, full.ack)
+            self._receive_slots(full, now)
         if digest.retries:
             self._retries[digest.box] = _RetryReport(digest.incarnation, digest.retries, now)
         self._apply_updates(digest, now)
@@ -122,6 +137,14 @@
         for event in digest.events:
             self.record_event(event, now)
 
+    def _receive_slots(self, digest: Digest, now: float) -> None:
+        state = self._state
+        report = digest.slots
+        state.slots.receive(digest.box, digest.incarnation, digest.seq, digest.ack, report)
+        for demand in report.demands if report else ():
+            left = min(demand.brittle_seconds, BRITTLE_SECONDS)
+            state.engines.mark_service_brittle(demand.service_key, now + left)
+
     def retries_before(self, box: str, incarnation: str, now: float) -> BoxRetries:
         """Return what a box spent of its retry budgets before it started as `incarnation`."""
         report = self._retries.get(box)
@@ -139,6 +162,9 @@
             latest = self._receiver.latest_state(name)
             if latest is not None:
                 self._state.limits.set_peer(name, latest.usage, latest.ack)
+                self._state.slots.receive(
+                    name, latest.incarnation, latest.seq, latest.ack, latest.slots
+                )
 
     def _apply_updates(self, digest: Digest, now: float) -> None:
         """Apply the updates that a peer relayed, and relay those that are new here."""
@@ -268,13 +294,42 @@
             self._relay.put_heartbeat(WatcherHeartbeat(self._box), now)
         for report in state.health.new_reports(self._box, now):
             self._relay.put_report(report, now)
-        return [self._digest_for(peer, full, now) for peer in peers]
+        demands = self._slot_demands(now)
+        return [self._digest_for(peer, full, demands, now) for peer in peers]
 
-    def _digest_for(self, peer: str, full: Digest, now: float) -> Digest:
+    def _slot_demands(self, now: float) -> tuple[SlotDemand, ...]:
+        """Return this box's demand at the services that are brittle now."""
+        state = self._state
+        services: dict[int, BrittleService] = {}
+        held: list[tuple[BrittleEngine, int]] = []
+        for service, seconds in state.engines.brittle_services(now).items():
+            names = state.engines.of_service(service)
+            engines = [brittle_engine(state.engines.get(name)) for name in names]
+            slots = sum(engine.slots for engine in engines)
+            services[hash32(service)] = BrittleService(seconds, slots)
+            held += [(engine, state.loads.own_calls(engine.name)) for engine in engines]
+        return state.slots.reports(services, held, now)
+
+    def _slot_report(self, peer: str, demands: tuple[SlotDemand, ...]) -> SlotReport | None:
+        """Return the report for a peer, None if no service is brittle.
+
+        To a peer that is not listed, and for which the shares leave no room, it names no start.
+        """
+        if not demands:
+            return None
+        listed = self._state.boxes.get(peer) is not None
+        latest = self._receiver.latest_state(peer) if listed else None
+        return SlotReport(hash32(latest.incarnation) if latest else 0, demands)
+
+    def _digest_for(
+        self, peer: str, full: Digest, demands: tuple[SlotDemand, ...], now: float
+    ) -> Digest:
         message = self._sender.next_for(peer, full, self._receiver.last_seq(peer))
         # Counted as sent even if it is not, which only delays a change of limit shares.
         self._state.limits.digest_sent(peer, message.seq, full.usage)
-        return self._relay.attach_to(message, now)
+        report = self._slot_report(peer, demands)
+        self._state.slots.report_sent(peer, message.seq, report)
+        return self._relay.attach_to(replace(message, slots=report), now)
 
     def digests_sent(self, digests: Iterable[Digest]) -> None:
         """Record that digests were sent."""
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -12,7 +12,7 @@
 from msgspec.structs import replace
 
 from seamhold_attempts.retry import Outcome
-from seamhold_limits import WorkspaceLimits
+from seamhold_limits import SlotShares, WorkspaceLimits
 from seamhold_membership import (
     BoxView,
     Digest,
@@ -83,8 +83,15 @@
         self.holders = HolderTable()
         self._cold_shares = ColdShares(box)
         self.limits = WorkspaceLimits(box)
+        self.slots = SlotShares(box, incarnation)
         state = FleetState(
-            self.boxes, self.engines, self.health, self.loads, self.holders, self.limits
+            self.boxes,
+            self.engines,
+            self.health,
+            self.loads,
+            self.holders,
+            self.limits,
+            self.slots,
         )
         self.counts = state.counts
         self.events = state.events
@@ -140,6 +147,8 @@
         for name in before - {box.name for box in boxes}:
             self.loads.drop_peer(name)
         self._cold_shares.set_boxes(box.name for box in boxes)
+        names = [box.name for box in boxes]
+        self.slots.set_boxes(names, self.boxes.all_are_neighbours, now)
         self.exchange.selection.begin(now)
         self._share_limits(now)
         self.exchange.boxes_listed(new)
@@ -337,6 +346,7 @@
         retries: tuple[RetryCount, ...] = (),
     ) -> list[Digest]:
         """Return the next digest for each of `peers`, in their order."""
+        self._calls.report_demand(now)
         return self.exchange.digests_for(peers, versions, now, retries)
 
     def digests_sent(self, digests: Iterable[Digest]) -> None:
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Mapping, Sequence
 
 from seamhold_attempts.retry import REFUSALS, Outcome
-from seamhold_limits import WaitQueue
+from seamhold_limits import SlotShares, WaitQueue
 from seamhold_membership import EngineView, Serving
 from seamhold_messages.fleet import Engine
 from seamhold_messages.hashing import hash32
@@ -22,6 +22,7 @@
     choose_least_loaded,
 )
 
+from .exchange import brittle_engine
 from .plans import ServicePlan
 
 #: An engine that refused a call as full is assumed to be full for this long.  By then peers
@@ -144,6 +145,7 @@
         chooser: Chooser = choose,
         failure_domain: str = '',
         cold_shares: ColdShares | None = None,
+        slots: SlotShares | None = None,
     ):
         self.name = name
         self.plan = ServicePlan()
@@ -158,6 +160,7 @@
         self._chooser = chooser
         self._failure_domain = failure_domain
         self._cold_shares = cold_shares or ColdShares('')
+        self._slots = slots or SlotShares('')
         self._ranking = Ranking()
         self._serving: Serving | None = None
         self._weight = 0.0
@@ -213,21 +216,31 @@
     def _without_share(self, serving: Serving, now: float) -> set[str]:
         """Return the brittle engines that have as many calls of this box as they may have.
 
-        Their slots are divided between the boxes: each knows its own calls at once, and those of
-        the others too late to keep a brittle engine from turning calls away.
+        Their slots are divided between the boxes (see `SlotShares`): each knows its own calls at
+        once, and those of the others too late to keep a brittle engine from turning calls away.
         """
         if not self._engines.is_brittle(self.name, now):
             return set()
         return {
             name
             for name, engine in serving.engines.items()
-            if self._loads.own_calls(name) >= self._brittle_share(engine)
+            if self._loads.own_calls(name)
+            >= self._slots.room(brittle_engine(engine), self._equal_share(engine))
         }
 
     def _brittle_share(self, engine: Engine) -> int:
         """Return how many calls this box may have at an engine while it is brittle."""
+        return self._slots.share(brittle_engine(engine), self._equal_share(engine))
+
+    def _equal_share(self, engine: Engine) -> int:
         return self._cold_shares.share(engine.incarnation or engine.name, engine.slots)
 
+    @property
+    def calls(self) -> int:
+        """The number of this box's calls that run at the engines or wait for one."""
+        waiting = len(self.waiting_for_holder) + len(self.waiting_for_version)
+        return self._loads.own_total(self.name) + len(self.queue) + waiting
+
     def _throttled(self, serving: Serving, now: float) -> frozenset[str]:
         """Return the cold engines that may get no more calls from this box now."""
         per_second = self.plan.cold_per_second
