Let calls wait for a share of brittle engines that may arrive in time

Change: such a call waits if two rounds of digests fit in its objective, or in its deadline if it has none. It is rejected at once where a listed box has not reported, since no demand can rise then.

--- a/packages/limits/seamhold_limits/slots.py
+++ b/packages/limits/seamhold_limits/slots.py
@@ -346,6 +346,11 @@
         """Whether the slots are divided equally, as between boxes that send no reports."""
         return not self._all_exchange or any(peer.older for peer in self._peers.values())
 
+    @property
+    def may_grow(self) -> bool:
+        """Whether every listed box reports and knows of this one, so that its demand can count."""
+        return not self._divides_equally and all(peer.knows_me for peer in self._peers.values())
+
     def share(self, engine: BrittleEngine, equal_share: int) -> int:
         """Return this box's share of an engine's slots.
 
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -131,7 +131,9 @@
 
     def _admit(self, call: Call, now: float) -> list[Decision]:
         service = self._service(call.service)
-        if not service.any_engine(now) and not self._may_wait_for_rest(call, now):
+        if not service.any_engine(now) and not (
+            self._may_wait_for_rest(call, now) or self._may_wait_for_share(call, now)
+        ):
             raise self._no_engine(call, 'this service has no live engine', now)
         if call.version is not None and not service.any_engine(now, version=call.version):
             raise self._no_version(call)
@@ -149,6 +151,21 @@
             return False
         return left <= REST_WAIT_SHARE * call.objective
 
+    def _may_wait_for_share(self, call: Call, now: float) -> bool:
+        """Whether this box may get a share of a brittle service's slots in time for the call.
+
+        A raised demand counts after two rounds of digests through all boxes.
+        """
+        state = self._state
+        if not state.engines.is_brittle(call.service, now) or not state.slots.may_grow:
+            return False
+        if not state.engines.serving(call.service, now).engines:
+            return False
+        control = self._tree.fleet.control
+        rounds = math.ceil(len(state.boxes.peers()) / control.digest_peers)
+        left = call.deadline - now if call.objective is None else call.objective
+        return 2 * rounds * control.digest_seconds <= left
+
     def _no_engine(self, call: Call, detail: str, now: float) -> SeamholdError:
         """Return the error of a call that no engine may get now."""
         left = self._state.engines.rest_left(call.service, now)
--- a/tests/test_slot_shares.py
+++ b/tests/test_slot_shares.py
@@ -5,11 +5,12 @@
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from seamhold_limits import BrittleEngine, BrittleService, SlotShares
 from seamhold_membership import Digest
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import SlotDemand, SlotReport
+from seamhold_messages.work import Call, Queued, Refused, SlotDemand, SlotReport, Work
 from seamhold_peers import DigestReader, EncodedDigest, NameTable
 from seamhold_routing.exchange import brittle_engine
 
@@ -151,6 +152,18 @@
         self.assertGreater(fleet.held_by('box-3'), 0)
         self.assertLessEqual(fleet.most, 4)
 
+    def test_without_a_share_a_call_waits_only_if_one_may_arrive_in_time(self):
+        fleet = BrittleFleet(8, 1, 4, 1, GOOD)
+        play(fleet, rounds(8, 4))
+        engine = brittle_engine(fleet.engines[0])
+        router = next(
+            box.router for box in fleet.boxes.values() if not box.router.slots.share(engine, 0)
+        )
+        for objective, expected in ((0.1, Refused), (5.0, Queued)):
+            call = Call(str(objective), 'w', SERVICE, '1', Work(1, 1), fleet.now + 9.0)
+            decisions = router.admit(replace(call, objective=objective), fleet.now)
+            self.assertIsInstance(decisions[0], expected)
+
     def test_after_a_restart_of_all_boxes_shares_are_equal(self):
         fleet = BrittleFleet(4, 6, 12, 1, GOOD)
         play(fleet, rounds(4, 3))
