--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -14,7 +14,16 @@
 
 from seamhold_membership import Digest, Event, EventKind
 from seamhold_messages.hashing import hash32
-from seamhold_messages.work import NO_WORK, RANKS, RetryCount, Usage, WaitingCalls, Work
+from seamhold_messages.work import (
+    NO_WORK,
+    RANKS,
+    RetryCount,
+    SlotDemand,
+    SlotReport,
+    Usage,
+    WaitingCalls,
+    Work,
+)
 
 from .names import NameTable, pack, pack_names, unpack
 from .update_codec import (
@@ -88,6 +97,20 @@
     oldest_hundredths: list[int]
 
 
+class SlotColumns(Struct, frozen=True, array_like=True):
+    """Demand for slots per brittle service; the hashes of names are packed.
+
+    `engines` and `excess` have one item per service, and a value per engine in it.
+    """
+
+    heard_start: int
+    services: bytes
+    demand_tenths: list[int]
+    brittle_tenths: list[int]
+    engines: list[bytes]
+    excess: list[list[int]]
+
+
 class DigestPart(Struct, frozen=True, array_like=True):
     """The wire format of a digest.
 
@@ -142,6 +165,12 @@
     waiting: WaitingColumns | None = None
 
 
+class DigestPartWithSlots(DigestPartWithWaiting, frozen=True, array_like=True):
+    """A digest of a box that knows of a brittle service."""
+
+    slots: SlotColumns | None = None
+
+
 def start_key(incarnation: str) -> int:
     """Return START_BITS bits that distinguish one start of a box from another."""
     return hash32(incarnation) % 2**START_BITS
@@ -172,7 +201,9 @@
         None if digest.store_age is None else age_steps(digest.store_age),
         heartbeat_columns(digest.watchers),
     )
-    has_retries = bool(digest.retries or digest.waiting)
+    # Each field is encoded only with all that precede it.
+    has_waiting = bool(digest.waiting or digest.slots)
+    has_retries = bool(digest.retries or has_waiting)
     if has_retries or digest.cases_fingerprint:
         fields = (*astuple(part), digest.evacuations_version, digest.cases_fingerprint)
         part = DigestPartWithCases(*fields)
@@ -180,15 +211,17 @@
         fields = (*astuple(part), digest.evacuations_version)
         part = DigestPartWithEvacuations(*fields)
     if has_retries:
-        fields = (*astuple(part), _retry_columns(digest.retries))
-        part = DigestPartWithRetries(*fields)
-    if digest.waiting:
-        part = DigestPartWithWaiting(*astuple(part), _waiting_columns(digest.waiting))
+        part = DigestPartWithRetries(*astuple(part), _retry_columns(digest.retries))
+    if has_waiting:
+        waiting = _waiting_columns(digest.waiting) if digest.waiting else None
+        part = DigestPartWithWaiting(*astuple(part), waiting)
+    if digest.slots:
+        part = DigestPartWithSlots(*astuple(part), _slot_columns(digest.slots))
     return _ENCODER.encode(part)
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(DigestPartWithWaiting)
+_DECODER = msgspec.msgpack.Decoder(DigestPartWithSlots)
 
 
 def _load_columns(loads: dict[str, Work]) -> LoadColumns | None:
@@ -237,6 +270,19 @@
     )
 
 
+def _slot_columns(report: SlotReport) -> SlotColumns:
+    demands = report.demands
+    return SlotColumns(
+        report.heard_start,
+        pack(one.service_key for one in demands),
+        [one.demand_tenths for one in demands],
+        # Rounded down, so that a sign that boxes relay to each other expires.
+        [int(one.brittle_seconds * TENTHS) for one in demands],
+        [pack(one.excess) for one in demands],
+        [list(one.excess.values()) for one in demands],
+    )
+
+
 def _event_parts(events: list[Event]) -> list[EventPart] | None:
     return [
         EventPart(event.kind, event.subject, event.incarnation, event.origin) for event in events
@@ -260,7 +306,7 @@
         except (msgspec.MsgspecError, struct.error, RecursionError):
             return None
 
-    def _sender(self, part: DigestPartWithWaiting) -> tuple[str, str]:
+    def _sender(self, part: DigestPartWithSlots) -> tuple[str, str]:
         """Return the box and its incarnation, '' each if they are unknown."""
         if isinstance(part.box, str):
             sender = (part.box, str(part.start))
@@ -271,7 +317,7 @@
             return ('', '')
         return (box, incarnation)
 
-    def _decode(self, part: DigestPartWithWaiting, box: str, incarnation: str) -> Digest:
+    def _decode(self, part: DigestPartWithSlots, box: str, incarnation: str) -> Digest:
         return Digest(
             box,
             incarnation,
@@ -297,6 +343,32 @@
             part.cases_fingerprint,
             self._retries(part.retries),
             self._waiting(part.waiting),
+            self._slots(part.slots),
+        )
+
+    @staticmethod
+    def _slots(part: SlotColumns | None) -> SlotReport | None:
+        if part is None:
+            return None
+        rows = zip(
+            unpack(part.services),
+            part.demand_tenths,
+            part.brittle_tenths,
+            part.engines,
+            part.excess,
+            strict=False,
+        )
+        return SlotReport(
+            part.heard_start,
+            tuple(
+                SlotDemand(
+                    key,
+                    max(0, demand),
+                    brittle / TENTHS,
+                    dict(zip(unpack(engines), excess, strict=False)),
+                )
+                for key, demand, brittle, engines, excess in rows
+            ),
         )
 
     @staticmethod
