Place calls by the predicted time where engines report their speed

Calls carry the tokens of their prompt. A call waits for a full holder only if that is predicted to be faster.

An answer that is late only as far as the reported speed explains is no evidence against its engine, with or without the setting.

--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -50,7 +50,8 @@
     that is not `sticky` reuses no cache and goes to the least loaded engine.
     `objective` is the target time to the first byte in seconds, None if the
     settings define none.  `version` is the only software version whose engines
-    may take the call, None for any.
+    may take the call, None for any.  `prompt_tokens` are the tokens of the whole prompt,
+    `shared_tokens` those that an engine which holds the chat need not process again.
     """
 
     id: str
@@ -65,6 +66,8 @@
     sticky: bool = True
     objective: float | None = None
     version: str | None = None
+    prompt_tokens: int = 0
+    shared_tokens: int = 0
 
 
 class Holding(Struct, frozen=True):
@@ -148,6 +151,9 @@
     engine did not answer this box.  `engines` counts the candidates for the call, `idle` the
     engines that are up but get no new work.  `version` is the engine's software version.
     `limit` is this box's concurrency limit at the engine in calls, None if none is used.
+    `holds` is whether the engine is known to hold the prompt.  `predicted` is the predicted time
+    to the first event in seconds if the engine was chosen by it, else None; `faster_at_holder` is
+    that time at an engine without room that holds the prompt, if it is shorter.
     """
 
     call_id: str
@@ -168,6 +174,9 @@
     idle: int = 0
     version: str = ''
     limit: float | None = None
+    holds: bool = False
+    predicted: float | None = None
+    faster_at_holder: float | None = None
 
 
 class Refused(Struct, frozen=True):
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -120,6 +120,8 @@
         sticky=shared is not None,
         objective=policy.objective,
         version=version,
+        prompt_tokens=sum(part.tokens for part in metadata.prompt),
+        shared_tokens=shared_tokens(metadata.prompt),
     )
     repeatable = policy.resumable if route.streamed else policy.repeatable
     rule = RetryRule(repeatable, policy.retries)
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -46,6 +46,7 @@
             'idle': placed.idle,
             'silent': placed.silent,
             'limit': None if placed.limit is None else round(placed.limit, 2),
+            'predicted': None if placed.predicted is None else round(placed.predicted, 3),
             'load_age': None if placed.load_age is None else round(placed.load_age, 3),
             'told': None if self.reported_load is None else self.reported_load.requests,
             'outcome': self.outcome,
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -1,6 +1,7 @@
 """The calls of one box: running at an engine, waiting for one engine, or for any slot."""
 
 import math
+import random
 from collections.abc import Iterable
 
 from msgspec import Struct
@@ -19,11 +20,13 @@
 from seamhold_messages.hashing import HASH32_SPAN, hash32
 from seamhold_messages.work import Call, Decision, Placed, Priority, Queued, Refused
 from seamhold_placement import Chooser, ColdShares
+from seamhold_placement.prediction import Basis
 from seamhold_settings import Tree
 
 from .beliefs import Belief, Sign
 from .exchange import FleetState, PeerExchange
 from .plans import plan_for
+from .predictions import ServicePredictions
 from .service import ServiceRouter
 
 NO_ENGINE_RETRY_SECONDS = 1.0
@@ -43,6 +46,8 @@
     patience_ends: float = 0.0
     #: When the call was sent to its engine; None before that and once its answer has begun.
     sent_at: float | None = None
+    #: What its response time is compared with, None if nothing is predicted.
+    basis: Basis | None = None
 
 
 class BoxCalls:
@@ -59,12 +64,14 @@
         chooser: Chooser,
         failure_domain: str,
         cold_shares: ColdShares,
+        rng: random.Random | None = None,
     ):
         self._state = state
         self._exchange = exchange
         self._chooser = chooser
         self._failure_domain = failure_domain
         self._cold_shares = cold_shares
+        self._rng = rng
         self._tree = Tree()
         self._services: dict[str, ServiceRouter] = {}
         self._active: dict[str, _ActiveCall] = {}
@@ -156,12 +163,20 @@
             if service.learns_concurrency(now):
                 self._state.counts['concurrency.no_room'] += 1
             return self._enqueue(service, call, now)
-        has_patience = now < self._active[call.id].patience_ends
-        if has_patience and placed.spilled:
+        patience = self._active[call.id].patience_ends - now
+        if patience > 0 and placed.spilled and self._may_gain_by_waiting(placed, patience):
             service.waiting_for_holder.append(call.id)
             return [Queued(call.id)]
         return [self._start(placed, call, now)]
 
+    @staticmethod
+    def _may_gain_by_waiting(placed: Placed, patience: float) -> bool:
+        """Whether the call may be answered earlier by a full engine that holds its cache."""
+        if placed.predicted is None:
+            return True
+        at_holder = placed.faster_at_holder
+        return at_holder is not None and at_holder + patience < placed.predicted
+
     def _enqueue(self, service: ServiceRouter, call: Call, now: float) -> list[Decision]:
         if call.version is not None:
             return self._wait_for_version(service, call)
@@ -194,6 +209,9 @@
                 self._chooser,
                 self._failure_domain,
                 self._cold_shares,
+                ServicePredictions(
+                    self._state.loads.speeds, self._state.speed_trust[name], self._rng
+                ),
             )
             service.use_plan(plan_for(self._tree, name))
             self._services[name] = service
@@ -202,7 +220,7 @@
     def _start(self, placed: Placed, call: Call, now: float) -> Placed:
         self._active[call.id].engine = placed.engine
         self._active[call.id].sent_at = now
-        self._service(call.service).record_sent(placed.engine, now)
+        self._active[call.id].basis = self._service(call.service).record_sent(call, placed, now)
         self._state.health.sent(call.id, placed.engine, call.objective, now)
         if call.sticky:
             self._exchange.placed(call.chat, placed.engine, now)
@@ -218,6 +236,8 @@
             self._services[active.call.service].record_response(
                 active.engine, now - active.sent_at, active.call.objective, now
             )
+            if active.basis is not None:
+                self._services[active.call.service].predictions.record_response(active.basis, now)
             active.sent_at = None
 
     def attempt_ended(self, call_id: str, outcome: Outcome, now: float) -> list[Decision]:
@@ -232,6 +252,8 @@
         waited = None if sent_at is None else now - sent_at
         service = self._services[active.call.service]
         service.record_attempt_end(engine, outcome, waited, active.call, now)
+        if active.basis is not None and outcome is Outcome.DONE:
+            service.predictions.record_duration(active.basis, now)
         self._record_outcome(engine, outcome, now)
         return self._drain_service(active.call.service, now)
 
@@ -402,4 +424,6 @@
                 self._state.counts[f'refused.{decision.code}'] += 1
             elif isinstance(decision, Placed):
                 self._state.counts['placed.spilled' if decision.spilled else 'placed.first'] += 1
+                if decision.predicted is not None:
+                    self._state.counts['placed.predicted'] += 1
         return decisions
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -1,6 +1,6 @@
 """The digests that one box sends to its peers and applies from them."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 from msgspec import Struct, field
@@ -26,6 +26,7 @@
     WatcherHeartbeat,
 )
 from seamhold_placement import HolderTable, LoadTable
+from seamhold_placement.speed_trust import SpeedTrust
 from seamhold_quarantine import Quarantine
 
 from .beliefs import RECEIVED_SOURCE, SILENCE_SOURCE, Belief, Sign, belief_from_event
@@ -72,6 +73,10 @@
     holders: HolderTable
     limits: WorkspaceLimits
     quarantine: Quarantine = field(default_factory=Quarantine)
+    #: What the speeds that engines report are worth, by service.
+    speed_trust: defaultdict[str, SpeedTrust] = field(
+        default_factory=lambda: defaultdict(SpeedTrust)
+    )
     events: EventLog = field(default_factory=EventLog)
     counts: Counter[str] = field(default_factory=Counter)
     #: Changes of belief that have not been logged yet.
@@ -145,7 +150,9 @@
         for holding in self._state.holders.record_updates(digest.held, now):
             self._relay.put_holding(holding)
         for reading in digest.readings:
-            self._record_load(reading, now, MIN_NEWER_SECONDS)
+            is_new = self._record_load(reading, now, MIN_NEWER_SECONDS)
+            if is_new and reading.slowness is not None:
+                self.record_speed(reading.engine, reading.slowness, now - reading.age)
         for report in digest.reports:
             self._receive_failure_report(report, now)
         for heartbeat in digest.watchers:
@@ -176,9 +183,17 @@
         """Record the load that an engine reported to this box."""
         self._record_load(reading, now, newer_by=0.0)
 
-    def _record_load(self, reading: LoadReading, now: float, newer_by: float) -> None:
+    def _record_load(self, reading: LoadReading, now: float, newer_by: float) -> bool:
         if self._state.loads.apply_reading(reading, now, newer_by):
             self._relay.put_reading(reading, now)
+            return True
+        return False
+
+    def record_speed(self, name: str, slowness: float, at: float) -> None:
+        """Compare a speed that an engine reported at time `at` with its earlier ones."""
+        engine = self._state.engines.get(name)
+        if engine is not None:
+            self._state.speed_trust[engine.service].record_report(name, slowness, at)
 
     def _receive_failure_report(self, report: FailureReport, now: float) -> None:
         state = self._state
--- a/packages/routing/seamhold_routing/health.py
+++ b/packages/routing/seamhold_routing/health.py
@@ -13,6 +13,7 @@
 from seamhold_attempts.retry import Outcome
 from seamhold_membership import EngineView, FailureCounts, outliers
 from seamhold_messages.work import FailureReport
+from seamhold_placement import SpeedTable
 
 #: The weight of each outcome as evidence that an engine is failing; 1.0 makes it suspect.  A
 #: refused connection is proof, while lost answers and failed calls also occur on healthy
@@ -39,19 +40,26 @@
 #: A call that its engine has not begun to answer after this many times the call's objective
 #: counts as one more failure.
 SLOW_OBJECTIVES = 2.0
+#: A reported slowness explains a late answer up to this multiple: an engine that reports more
+#: and does not answer is of no use to callers.
+MAX_SLOWNESS = 5.0
 
 
 class PendingAnswer(Struct):
     """A call that its engine has not begun to answer."""
 
     engine: str
+    sent_at: float
+    #: How long an answer may take at the usual speed, in seconds.
+    usual_seconds: float
     slow_at: float
 
 
 class EngineHealth:
     """Derives from the outcomes of calls which engines are suspect or outliers."""
 
-    def __init__(self, engines: EngineView):
+    def __init__(self, engines: EngineView, speeds: SpeedTable | None = None):
+        self._speeds = speeds or SpeedTable()
         self.failures = FailureCounts()
         self._engines = engines
         self._pending: dict[str, PendingAnswer] = {}
@@ -69,7 +77,9 @@
         not begun to answer after `SLOW_OBJECTIVES` times that, the call counts as failed.
         """
         if objective is not None:
-            self._pending[call_id] = PendingAnswer(engine, now + SLOW_OBJECTIVES * objective)
+            self._pending[call_id] = PendingAnswer(
+                engine, now, SLOW_OBJECTIVES * objective, now + SLOW_OBJECTIVES * objective
+            )
 
     def answer_started(self, call_id: str) -> None:
         """Stop waiting for the answer: it has begun, or the call is over."""
@@ -138,7 +148,22 @@
 
     def _count_slow(self, now: float) -> None:
         for call_id, pending in list(self._pending.items()):
-            if now >= pending.slow_at:
+            if now >= pending.slow_at and not self._is_reported_slow(pending, now):
                 del self._pending[call_id]
                 self._unproven_at[pending.engine] = now
                 self._record_failure(pending.engine, now)
+
+    def _is_reported_slow(self, pending: PendingAnswer, now: float) -> bool:
+        """Whether the answer is only as late as the engine's reported speed explains.
+
+        If so, the call is checked again when it is later than that.  Calls at engines that report
+        no speed count as before.
+        """
+        speed = self._speeds.slowness(pending.engine, now)
+        if speed is None or speed.value <= 1.0:
+            return False
+        late_at = pending.sent_at + pending.usual_seconds * min(speed.value, MAX_SLOWNESS)
+        if now >= late_at:
+            return False
+        pending.slow_at = late_at
+        return True
--- a/packages/routing/seamhold_routing/plans.py
+++ b/packages/routing/seamhold_routing/plans.py
@@ -14,7 +14,8 @@
     `patience` is how long a call waits for the engine that holds its cache before it goes to
     another, in seconds.  `cold_per_second` is how many calls a second an engine can take while
     it is cold, 0 if a cold engine can take as many as a warm one.  `learned_concurrency` applies to
-    services whose engines keep no prompts and report no load.
+    services whose engines keep no prompts and report no load, `predicted_placement` to those whose
+    engines report their speed.
     """
 
     bound: BoundPolicy = field(default_factory=BoundPolicy)
@@ -22,6 +23,7 @@
     patience: float = 0.0
     cold_per_second: float = 0.0
     learned_concurrency: bool = False
+    predicted_placement: bool = False
 
 
 def plan_for(tree: Tree, service: str) -> ServicePlan:
@@ -41,7 +43,14 @@
     cold_per_second = service_spec.cold_requests_per_second if service_spec else 0.0
     keeps_prompts = service_spec is not None and service_spec.keeps_prompts
     learned_concurrency = placement.learned_concurrency and not keeps_prompts
-    return ServicePlan(bound, queue_calls, placement.patience, cold_per_second, learned_concurrency)
+    return ServicePlan(
+        bound,
+        queue_calls,
+        placement.patience,
+        cold_per_second,
+        learned_concurrency,
+        placement.predicted_placement,
+    )
 
 
 def caps_for(tree: Tree) -> dict[str, WorkspaceCaps]:
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -77,9 +77,9 @@
         self.tree = Tree()
         self.engines = EngineView()
         self.versions = ServiceVersions()
-        self.health = EngineHealth(self.engines)
         self.boxes = BoxView(box)
         self.loads = loads or LoadTable()
+        self.health = EngineHealth(self.engines, self.loads.speeds)
         self.holders = HolderTable()
         self._cold_shares = ColdShares(box)
         self.limits = WorkspaceLimits(box)
@@ -92,12 +92,14 @@
         self.quarantine = state.quarantine
         self._forget_cases_at = -math.inf
         self.exchange = PeerExchange(box, incarnation, state)
+        rng = random.Random(incarnation)
         self._calls = BoxCalls(
             state,
             self.exchange,
-            chooser or partial(choose, rng=random.Random(incarnation)),
+            chooser or partial(choose, rng=rng),
             failure_domain,
             self._cold_shares,
+            rng,
         )
 
     # Inputs: settings, lists, and messages from peers and engines.
@@ -184,6 +186,7 @@
             self.exchange.record_engine_load(reading, now)
             if slowness is not None:
                 self.loads.speeds.record(name, slowness, now)
+                self.exchange.record_speed(name, slowness, now)
 
     def engine_ended(self, engine: Engine, report: EndReport, now: float) -> EndReport | None:
         """Record that an engine ended under one of this box's calls.
--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -21,8 +21,12 @@
     choose,
     choose_least_loaded,
 )
+from seamhold_placement.prediction import Basis
+from seamhold_placement.speed_trust import SpeedTrust
+from seamhold_placement.speeds import SpeedTable
 
 from .plans import ServicePlan
+from .predictions import ServicePredictions
 
 #: An engine that refused a call as full is assumed to be full for this long.  By then peers
 #: have reported the calls they sent to it.
@@ -144,6 +148,7 @@
         chooser: Chooser = choose,
         failure_domain: str = '',
         cold_shares: ColdShares | None = None,
+        predictions: ServicePredictions | None = None,
     ):
         self.name = name
         self.plan = ServicePlan()
@@ -172,6 +177,7 @@
         #: Used while no engine of the service has reported its load.
         self._concurrency = ConcurrencyLimits()
         self._reports_load = False
+        self.predictions = predictions or ServicePredictions(SpeedTable(), SpeedTrust())
 
     def use_plan(self, plan: ServicePlan) -> None:
         """Apply changed settings."""
@@ -294,13 +300,26 @@
         """The sum of this box's concurrency limits at the engines, 0 if none is used."""
         return self._concurrency.total
 
-    def record_sent(self, engine: str, now: float) -> None:
-        """Record that a call was sent to `engine`."""
+    def record_sent(self, call: Call, placed: Placed, now: float) -> Basis | None:
+        """Record that a call was sent to an engine.
+
+        Return what its response time will be compared with, None if predictions are not used.
+        """
         serving = self._refresh(now)
+        engine = placed.engine
         if engine in serving.engines:
             self._concurrency.record_sent(engine, serving.engines[engine].slots, now)
         if engine in serving.cold:
             self._cold_shares.record_sent(serving.engines[engine].incarnation, now)
+        if not self._predicts(serving, now):
+            return None
+        return self.predictions.basis(call, placed, engine in self._local, now)
+
+    def _predicts(self, serving: Serving, now: float) -> bool:
+        """Whether calls go to the engines with the shortest predicted time."""
+        if not self.plan.predicted_placement:
+            return False
+        return self.predictions.reports_speed(serving.engines, now)
 
     def _refresh(self, now: float) -> Serving:
         """Return the engines that serve now; update ranking, groups and weights on a change."""
@@ -349,7 +368,14 @@
             self._loads.own_total(self.name),
         )
         hint = candidates.rank_of_hint(call.hint)
-        if call.sticky:
+        predicted = None
+        if self._predicts(serving, now):
+            predicted = self.predictions.choose(
+                candidates, totals, call, self.plan.bound, hint, now
+            )
+        if predicted is not None:
+            choice: Choice | None = predicted
+        elif call.sticky:
             choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
         elif self.learns_concurrency(now):
             choice = self._choose_by_limits(candidates, now)
@@ -389,6 +415,9 @@
             len(serving.idle),
             engine.version,
             self._concurrency.limit_at(choice.name),
+            choice.name in holders or (hint is not None and choice.rank == hint),
+            None if predicted is None else predicted.seconds,
+            None if predicted is None else predicted.faster_at_holder,
         )
 
     @staticmethod
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -145,7 +145,9 @@
     `patience` is how long a call waits for the engine that holds its cache before it goes
     to another.  With `learned_concurrency` each box limits its concurrent calls at servers
     that do not report their load by their response times and rejections, and not by what
-    other boxes report.  At most `max_ejection_share` of a service's live engines, but always
+    other boxes report.  With `predicted_placement` calls go to the engines with the shortest
+    predicted time to the first event, where engines report their speed.  At most
+    `max_ejection_share` of a service's live engines, but always
     at least one, may be out of use because of failed calls.  Times are in seconds.
     """
 
@@ -159,6 +161,7 @@
     rising_seconds: Annotated[float, Meta(ge=0, le=600)] = 10.0
     suspect_seconds: Annotated[float, Meta(gt=0, le=60)] = 2.0
     learned_concurrency: bool = False
+    predicted_placement: bool = False
     max_ejection_share: Annotated[float, Meta(ge=0, le=1)] = 1 / 3
 
     def __post_init__(self):
