--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -122,6 +122,8 @@
         objective=policy.objective,
         version=version,
         workspace_priority=workspace_priority,
+        prompt_tokens=sum(part.tokens for part in metadata.prompt),
+        shared_tokens=shared_tokens(metadata.prompt),
     )
     repeatable = policy.resumable if route.streamed else policy.repeatable
     rule = RetryRule(repeatable, policy.retries)
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -148,7 +148,9 @@
     other boxes report.  With `predictive_admission` calls wait in the order of their workspace's
     priority first, and a call that is predicted to start after its deadline is rejected at
     once; with `start_within_objective` one that is predicted to start after its objective.
-    At most `max_ejection_share` of a service's live engines, but always
+    With `predicted_placement` calls go to the engines with the shortest predicted time to the
+    first event, where engines report their speed.  At most
+    `max_ejection_share` of a service's live engines, but always
     at least one, may be out of use because of failed calls.  Times are in seconds.
     """
 
@@ -164,6 +166,7 @@
     learned_concurrency: bool = False
     predictive_admission: bool = False
     start_within_objective: bool = False
+    predicted_placement: bool = False
     max_ejection_share: Annotated[float, Meta(ge=0, le=1)] = 1 / 3
 
     def __post_init__(self):
