--- a/packages/router/seamhold/forwarding/response_buffers.py
+++ b/packages/router/seamhold/forwarding/response_buffers.py
@@ -242,7 +242,7 @@
                     if writer is not None:
                         self._send(writer, events)
             now = self._clock()
-            if now >= self._next_check:
+            if now >= self._next_check or not self._slow:
                 self._next_check = now + CHECK_SECONDS
                 self._check(now)
             self._act()
@@ -258,7 +258,10 @@
                 action()
             except OSError:
                 # The connection is broken.
-                pass
+                continue
+            except Exception:
+                # All other responses depend on this task.
+                self._log.exception('buffers.error')
 
     def _send(self, writer: ResponseWriter, events: int) -> None:
         if events & GONE_EVENTS or (events & select.EPOLLRDHUP and writer.on_sent is None):
