Switch the shares of brittle engines by demand on by a setting, off by default

Change: placement.brittle_slots_by_demand; without it the slots are divided equally and nothing is reported.

--- a/packages/limits/seamhold_limits/slots.py
+++ b/packages/limits/seamhold_limits/slots.py
@@ -135,6 +135,8 @@
     def __init__(self, me: str, start: str = ''):
         self._me = me
         self._start_key = hash32(start)
+        #: Without it the slots are divided equally, and nothing is reported.
+        self.enabled = True
         self._boxes: frozenset[str] = frozenset((me,))
         self._peers: dict[str, _Peer] = {}
         self._grants = DemandGrants()
@@ -349,14 +351,16 @@
     @property
     def may_grow(self) -> bool:
         """Whether every listed box reports and knows of this one, so that its demand can count."""
-        return not self._divides_equally and all(peer.knows_me for peer in self._peers.values())
+        if not self.enabled or self._divides_equally:
+            return False
+        return all(peer.knows_me for peer in self._peers.values())
 
     def share(self, engine: BrittleEngine, equal_share: int) -> int:
         """Return this box's share of an engine's slots.
 
         `equal_share` is what it has where the slots are divided equally.
         """
-        if not self._all_exchange:
+        if not self.enabled or not self._all_exchange:
             return equal_share
         if self._divides_equally:
             return min(equal_share, self._split(engine)) if self._joined else equal_share
@@ -368,7 +372,7 @@
         A share that grew is used as far as others hold nothing above theirs.
         """
         share = self.share(engine, equal_share)
-        if not self._all_exchange:
+        if not self.enabled or not self._all_exchange:
             return share
         room = min(share, max(self._kept.get(engine, 0), share - self._excess[engine.key]))
         self._kept[engine] = room
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -142,7 +142,9 @@
 
     def _record_no_room(self, call: Call, decision: Decision, now: float) -> None:
         """Count a call that a brittle service has no room for towards this box's demand."""
-        if isinstance(decision, Placed) or not self._state.engines.is_brittle(call.service, now):
+        if isinstance(decision, Placed) or not self._state.slots.enabled:
+            return
+        if not self._state.engines.is_brittle(call.service, now):
             return
         self._state.engines.keep_brittle(call.service, now)
         if isinstance(decision, Refused) and decision.code in NO_ROOM_CODES:
@@ -150,7 +152,9 @@
             self._state.counts['brittle.no_room'] += 1
 
     def report_demand(self, now: float) -> None:
-        """Tell the shares of brittle services how many calls run and wait here."""
+        """Update the demand at brittle services with the calls that run and wait here."""
+        if not self._state.slots.enabled:
+            return
         for name, service in self._services.items():
             if self._state.engines.is_brittle(name, now):
                 self._state.slots.set_calls(hash32(name), service.calls, now)
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -139,7 +139,8 @@
         if full is not None:
             state.loads.set_peer(digest.box, full.loads)
             state.limits.set_peer(digest.box, full.usage, full.ack)
-            state.backlogs.set_peer(digest.box, full.waiting, now)
+            if state.boxes.get(digest.box) is not None:
+                state.backlogs.set_peer(digest.box, full.waiting, now)
             self._receive_slots(full, now)
         if digest.retries:
             self._retries[digest.box] = _RetryReport(digest.incarnation, digest.retries, now)
@@ -155,6 +156,8 @@
         state = self._state
         report = digest.slots
         state.slots.receive(digest.box, digest.incarnation, digest.seq, digest.ack, report)
+        if not state.slots.enabled:
+            return
         for demand in report.demands if report else ():
             left = min(demand.brittle_seconds, BRITTLE_SECONDS)
             state.engines.mark_service_brittle(demand.service_key, now + left)
@@ -327,6 +330,8 @@
     def _slot_demands(self, now: float) -> tuple[SlotDemand, ...]:
         """Return this box's demand at the services that are brittle now."""
         state = self._state
+        if not state.slots.enabled:
+            return ()
         services: dict[int, BrittleService] = {}
         held: list[tuple[BrittleEngine, int]] = []
         for service, seconds in state.engines.brittle_services(now).items():
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -84,6 +84,7 @@
         self._cold_shares = ColdShares(box)
         self.limits = WorkspaceLimits(box)
         self.slots = SlotShares(box, incarnation)
+        self.slots.enabled = self.tree.fleet.placement.brittle_slots_by_demand
         state = FleetState(
             self.boxes,
             self.engines,
@@ -122,6 +123,7 @@
             name: service.cold_seconds for name, service in tree.fleet.services.items()
         }
         self.loads.peer_growth = placement.peer_growth
+        self.slots.enabled = placement.brittle_slots_by_demand
         self.limits.set_caps(caps_for(tree))
         self._calls.use_settings(tree)
 
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -149,7 +149,8 @@
     priority first, and a call that is predicted to start after its deadline is rejected at
     once; with `start_within_objective` one that is predicted to start after its objective.
     With `predicted_placement` calls go to the engines with the shortest predicted time to the
-    first event, where engines report their speed.  At most
+    first event, where engines report their speed.  With `brittle_slots_by_demand` a box's share
+    of the slots of brittle engines follows its demand.  At most
     `max_ejection_share` of a service's live engines, but always
     at least one, may be out of use because of failed calls.  Times are in seconds.
     """
@@ -164,6 +165,7 @@
     rising_seconds: Annotated[float, Meta(ge=0, le=600)] = 10.0
     suspect_seconds: Annotated[float, Meta(gt=0, le=60)] = 2.0
     learned_concurrency: bool = False
+    brittle_slots_by_demand: bool = False
     predictive_admission: bool = False
     start_within_objective: bool = False
     predicted_placement: bool = False
--- a/tests/utils/brittle_fleet.py
+++ b/tests/utils/brittle_fleet.py
@@ -69,6 +69,7 @@
     def start(self, name: str) -> None:
         """Start or restart a box; its name must be on the platform's list."""
         router = Router(name, f'{name}.{next(self._numbers)}')
+        router.slots.enabled = True
         router.slots.wait_for_peers()
         router.set_engines(self.engines, self.now)
         self.boxes[name] = FleetBox(router, self.now + self.rng.random() * DIGEST_SECONDS)
