--- a/packages/limits/seamhold_limits/backlog.py
+++ b/packages/limits/seamhold_limits/backlog.py
@@ -69,7 +69,7 @@
     """Measures the pace at which waiting calls of one service are placed."""
 
     def __init__(self):
-        self._at = 0.0
+        self._at: float | None = None
         #: Seconds in which calls waited; placements are dated on this clock.
         self._busy = 0.0
         self._idle = 0.0
@@ -82,7 +82,9 @@
 
     def advance(self, waiting: bool, now: float) -> None:
         """Record whether any call was `waiting` since the last time this was called."""
-        elapsed, self._at = max(0.0, now - self._at), max(self._at, now)
+        # Nothing is known of the time before the first call, in which the rate was not measured.
+        before = now if self._at is None else self._at
+        elapsed, self._at = max(0.0, now - before), max(before, now)
         if waiting:
             self._busy += elapsed
             self._idle = 0.0
--- a/packages/limits/seamhold_limits/peer_backlog.py
+++ b/packages/limits/seamhold_limits/peer_backlog.py
@@ -16,6 +16,8 @@
 #: Reported counts are used for predictions for this long.  With 84 boxes, of which each sends
 #: digests to 12 others every 0.25 s, a box hears of each other every 1.75 s.
 REPORT_SECONDS = 2.0
+#: Maximum number of rows of a report that are kept, one for each service and rank.
+ROWS_MAX = 256
 #: An arrival is held back only for calls that a peer reported at most this long ago.
 RECENT_SECONDS = 0.5
 #: A call waits for long if it has waited for this long: twice the interval at which boxes check
@@ -44,8 +46,13 @@
 
     def set_peer(self, box: str, waiting: tuple[WaitingCalls, ...], now: float) -> None:
         """Replace what peer `box` reported."""
+        self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if now - report.at <= REPORT_SECONDS
+        }
         if waiting:
-            self._reports[box] = _Report(now, waiting)
+            self._reports[box] = _Report(now, waiting[:ROWS_MAX])
         else:
             self._reports.pop(box, None)
 
--- a/packages/limits/seamhold_limits/queue.py
+++ b/packages/limits/seamhold_limits/queue.py
@@ -133,7 +133,7 @@
     def _offer_by_rank(
         self, call: Call, now: float, weight: float, exempt_until: float
     ) -> list[Refused]:
-        self._rate.advance(bool(self._waiting), now)
+        self._rate.advance(self._is_busy(now), now)
         tag = (call.rank, call.workspace)
         start = max(self._rank_times[call.rank], self._rank_tags[tag])
         arrival = _Waiting(call, now, start, exempt_until)
@@ -166,7 +166,7 @@
         """Remove the calls that cannot start before their deadline and return their refusals."""
         if not self.predictive:
             return []
-        self._rate.advance(bool(self._waiting), now)
+        self._rate.advance(self._is_busy(now), now)
         return [self._reject(waiting, None, now) for waiting in self._unservable(now)]
 
     def _unservable(self, now: float, arrival: _Waiting | None = None) -> list[_Waiting]:
@@ -256,7 +256,8 @@
             return []
         for waiting in expired:
             self._count_unserved('rejected.deadline_passed', waiting, now)
-        self._rate.advance(True, now)
+        if self.predictive:
+            self._rate.advance(True, now)
         self._waiting = [waiting for waiting in self._waiting if waiting.call.deadline > now]
         return [
             _refusal(waiting.call, DeadlinePassed, 'the deadline passed in the queue')
@@ -283,6 +284,13 @@
 
         return sorted(self._waiting, key=order_by_rank if self.predictive else order)
 
+    def _is_busy(self, now: float) -> bool:
+        """Whether calls wait that any room would start.
+
+        A retry may wait for one engine while others have room, which is no stall of the service.
+        """
+        return any(waiting.exempt_until < now for waiting in self._waiting)
+
     def _is_late(self, waiting: _Waiting, now: float) -> bool:
         objective = waiting.call.objective
         if not self.late_last or objective is None:
@@ -299,7 +307,7 @@
         for position, waiting in enumerate(self._waiting):
             if waiting.call.id == call_id:
                 at = cancelled_at if now is None else now
-                if at is not None:
+                if self.predictive and at is not None:
                     self._rate.advance(True, at)
                 del self._waiting[position]
                 if now is not None:
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -64,12 +64,19 @@
     def test_a_stall_lasts_until_there_is_room(self):
         """Guards against rejecting calls because of a stall that has ended."""
         rate = PlacementRate()
+        rate.advance(False, 0.0)
         rate.advance(True, 1.0)
         self.assertEqual(1.0, rate.pace.stall)
         rate.advance(False, 1.5)
         rate.record_room()
         self.assertEqual(0.0, rate.pace.stall)
 
+    def test_time_before_the_first_measurement_is_no_stall(self):
+        """Guards against rejecting all calls once the setting is turned on in a running box."""
+        rate = PlacementRate()
+        rate.advance(True, 3600.0)
+        self.assertEqual(0.0, rate.pace.stall)
+
     def test_more_urgent_callers_return_first_and_none_together(self):
         seconds = [return_seconds(call(f'{n}', workspace_priority=n % 3), 1.0) for n in range(60)]
         self.assertEqual(60, len(set(seconds)))
