--- a/packages/placement/seamhold_placement/speeds.py
+++ b/packages/placement/seamhold_placement/speeds.py
@@ -9,8 +9,8 @@
 
 from msgspec import Struct
 
-#: A speed is dropped when it is older than this, in seconds. An engine that still serves calls has
-#: reported again by then, and no box relays readings that are older.
+#: A speed is dropped when it is older than this, in seconds: it says little about the present.
+#: Readings from peers are accepted up to the age at which a reading of load expires, 2 s.
 SPEED_SECONDS = 3.0
 
 
--- a/packages/routing/seamhold_routing/relaying.py
+++ b/packages/routing/seamhold_routing/relaying.py
@@ -8,9 +8,9 @@
 from seamhold_membership import Digest, GossipBuffer
 from seamhold_messages.work import FailureReport, Holding, LoadReading, WatcherHeartbeat
 
-#: Maximum number of engine load readings in one digest, 7 bytes each and 1 to 3 more
-#: with speeds.  At 8 KB a second, 28 digests of this size carry the load of each of 112 engines
-#: 8 times a second.
+#: Maximum number of engine load readings in one digest, 7 bytes each and 1 to 5 more
+#: with speeds.  At 8 KB a second, 28 digests of this size without speeds carry the load of each of
+#: 112 engines 8 times a second.
 READINGS_PER_DIGEST = 32
 #: Maximum number of failure reports in one digest, 19 bytes each.
 REPORTS_PER_DIGEST = 12
