Name the reports of brittle engines and peers in the field's terms

Renamed within the new code only: receiver_start, record_contact, receive_waiting; comments that spoke of hearing, telling and giving up.

--- a/packages/limits/seamhold_limits/peer_backlog.py
+++ b/packages/limits/seamhold_limits/peer_backlog.py
@@ -14,7 +14,7 @@
 from .backlog import Elsewhere
 
 #: Reported counts are used for predictions for this long.  With 84 boxes, of which each sends
-#: digests to 12 others every 0.25 s, a box hears of each other every 1.75 s.
+#: digests to 12 others every 0.25 s, a box receives a digest of each other every 1.75 s.
 REPORT_SECONDS = 2.0
 #: Maximum number of rows of a report that are kept, one for each service and rank.
 ROWS_MAX = 256
--- a/packages/limits/seamhold_limits/slots.py
+++ b/packages/limits/seamhold_limits/slots.py
@@ -41,7 +41,7 @@
 #: or falls below it by `REPORTED_MAX`.  Until a raised demand counts, its room is used by nobody.
 REPORTED_ABOVE = 1.15
 REPORTED_MAX = 1.5
-#: A box that has not heard every box of its first list by then gives up the demand of an idle box:
+#: A box that lacks a digest of any box of its first list by then drops the demand of an idle box:
 #: it cannot be granted more, and others can use the room.
 FIRST_CONTACT_SECONDS = 0.5
 #: Engines are spread over this number of ways to round shares, so that a box whose share of each
@@ -146,7 +146,7 @@
         self._listed = False
         self._all_exchange = True
         self._first_contact_until = math.inf
-        self._not_heard: set[str] = set()
+        self._silent_boxes: set[str] = set()
         self._own: dict[int, _OwnDemand] = {}
         self._reported: dict[int, int] = {}
         #: The reported demand as far as all listed boxes have acknowledged it.
@@ -183,9 +183,9 @@
             for name in new:
                 # It uses no share before it has received a report of this box.
                 self._grants.await_peer(name)
-            self._not_heard &= others
+            self._silent_boxes &= others
         else:
-            self._not_heard = set(others)
+            self._silent_boxes = set(others)
             self._first_contact_until = now + FIRST_CONTACT_SECONDS
         self._has_list = True
         self._listed = self._me in listed
@@ -195,9 +195,9 @@
         self._check_joined()
         self._changed()
 
-    def heard(self, box: str) -> None:
+    def record_contact(self, box: str) -> None:
         """Record that any message of a box arrived."""
-        self._not_heard.discard(box)
+        self._silent_boxes.discard(box)
 
     def receive(self, box: str, start: str, seq: int, ack: int, report: SlotReport | None) -> None:
         """Apply what a listed box reported in message `seq` of its incarnation `start`.
@@ -211,7 +211,7 @@
             peer = self._begin(box, peer, start)
         if seq <= peer.seq:
             return
-        if report is not None and report.heard_start not in (0, self._start_key):
+        if report is not None and report.receiver_start not in (0, self._start_key):
             # Meant for the process that had this box's name before.
             return
         peer.seq = seq
@@ -221,7 +221,7 @@
             demands = {}
         else:
             peer.missing_reports = peer.announced_seq = 0
-            peer.knows_me |= report.heard_start == self._start_key
+            peer.knows_me |= report.receiver_start == self._start_key
             demands = {one.service_key: one for one in report.demands}
             self._grants.record_ack(box, ack)
         changed = _sharing(demands) != _sharing(peer.demands)
@@ -233,7 +233,7 @@
             self._count_own()
 
     def _begin(self, box: str, peer: _Peer, start: str) -> _Peer:
-        """Return the state of a box that is heard for the first time since its start."""
+        """Return the state of a box whose first digest since its start arrives."""
         if not peer.start:
             peer.start = start
             return peer
@@ -267,7 +267,7 @@
             self._shares_moved()
 
     def _shares_moved(self) -> None:
-        """Give up what a lower share no longer covers.
+        """Drop what a lower share no longer covers.
 
         Must be called on every change: others may use the room from now on, even if the share
         rises again before the next call.
@@ -319,7 +319,7 @@
             return 0
         own = self._own.get(service_key)
         calls = own.reported if own else 0.0
-        if not self._not_heard or now < self._first_contact_until:
+        if not self._silent_boxes or now < self._first_contact_until:
             calls += IDLE_SHARE * slots / len(self._boxes)
         return math.ceil(calls * TENTHS)
 
--- a/packages/membership/seamhold_membership/engine_view.py
+++ b/packages/membership/seamhold_membership/engine_view.py
@@ -29,7 +29,7 @@
 UNUSED_BY_PLAN = frozenset({UnusedReason.LEAVING, UnusedReason.EVACUATED})
 #: Slow start: the shares of its weight that a newly seen engine gets, step by step, before 1.
 RISING_STEPS = (0.25, 0.5, 0.75)
-#: A service of which nothing is heard counts as brittle for at most this long after the last sign,
+#: A service without any new sign counts as brittle for at most this long after the last sign,
 #: in seconds: by then a box that is cut off from the others is listed no longer.
 KEEP_BRITTLE_SECONDS = 60.0
 
@@ -191,7 +191,7 @@
     def keep_brittle(self, service: str, now: float) -> None:
         """Record that calls for a brittle service wait, are refused, or run without an answer.
 
-        A box without room there receives no answers, so the lack of a sign tells it nothing.
+        A box without room there receives no answers, so the lack of a sign means nothing.
         """
         if self.is_brittle(service, now):
             latest = self._brittle_until(service) + KEEP_BRITTLE_SECONDS
--- a/packages/messages/seamhold_messages/work.py
+++ b/packages/messages/seamhold_messages/work.py
@@ -167,13 +167,13 @@
 
 
 class SlotReport(Struct, frozen=True):
-    """What one box tells another, which it has on its list, of its use of brittle engines.
+    """What one box reports to another on its list of its use of brittle engines.
 
-    `heard_start` is the hash of the receiver's incarnation as the sender last heard it, 0 for
+    `receiver_start` is the hash of the receiver's incarnation as the sender last received it, 0 for
     none: a report to an earlier start of the receiver must not count for this one.
     """
 
-    heard_start: int
+    receiver_start: int
     demands: tuple[SlotDemand, ...]
 
 
--- a/packages/peers/seamhold_peers/digest_codec.py
+++ b/packages/peers/seamhold_peers/digest_codec.py
@@ -103,7 +103,7 @@
     `engines` and `excess` have one item per service, and a value per engine in it.
     """
 
-    heard_start: int
+    receiver_start: int
     services: bytes
     demand_tenths: list[int]
     brittle_tenths: list[int]
@@ -273,7 +273,7 @@
 def _slot_columns(report: SlotReport) -> SlotColumns:
     demands = report.demands
     return SlotColumns(
-        report.heard_start,
+        report.receiver_start,
         pack(one.service_key for one in demands),
         [one.demand_tenths for one in demands],
         # Rounded down, so that a sign that boxes relay to each other expires.
@@ -359,7 +359,7 @@
             strict=False,
         )
         return SlotReport(
-            part.heard_start,
+            part.receiver_start,
             tuple(
                 SlotDemand(
                     key,
--- a/packages/placement/seamhold_placement/concurrency.py
+++ b/packages/placement/seamhold_placement/concurrency.py
@@ -186,8 +186,8 @@
     def target(self, objective: float | None) -> float:
         """Return the longest response time that is not taken for queueing, in seconds.
 
-        Infinity without an objective: response times alone do not tell long calls from a queue,
-        so only rejections count.
+        Infinity without an objective: response times alone do not distinguish long calls from a
+        queue, so only rejections count.
         """
         if objective is None:
             return math.inf
--- a/packages/router/seamhold/forwarding/response_buffers.py
+++ b/packages/router/seamhold/forwarding/response_buffers.py
@@ -333,7 +333,7 @@
         return Shortage(max(0, spare - free), max(0, self.held_bytes - self.total_bytes))
 
     def _drop(self, writer: ResponseWriter, reason: DropReason) -> None:
-        """Give up a response; its thread sees that at its next write, or by its closed connection.
+        """Drop a response; its thread sees that at its next write, or by its closed connection.
 
         Called with the lock.
         """
--- a/packages/router/seamhold/forwarding/slow_callers.py
+++ b/packages/router/seamhold/forwarding/slow_callers.py
@@ -67,7 +67,7 @@
 
     `blocked_for` is how long its connection has not taken all that was written, and
     `stalled_for` how long it has taken nothing, both in seconds; `rate` is in bytes per
-    second.  `waits` tells that a thread waits for room, and `complete` that its whole
+    second.  `waits` states that a thread waits for room, and `complete` that its whole
     response is buffered.
     """
 
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -122,7 +122,7 @@
         self._backlogs.use_settings(tree.fleet.placement)
 
     def waiting_calls(self, now: float) -> tuple[WaitingCalls, ...]:
-        """Return the calls that wait for any slot, as peers are told."""
+        """Return the calls that wait for any slot, as reported to peers."""
         return self._backlogs.report(now)
 
     # One call.
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -134,7 +134,7 @@
             self._sender.forget(digest.box)
             state.limits.reset_peer(digest.box)
         self._sender.record_ack(digest.box, digest.ack)
-        state.slots.heard(digest.box)
+        state.slots.record_contact(digest.box)
         full = self._receiver.receive(digest)
         if full is not None:
             state.loads.set_peer(digest.box, full.loads)
--- a/tests/test_predictive_admission.py
+++ b/tests/test_predictive_admission.py
@@ -84,11 +84,11 @@
         call = replace(call, workspace_priority=workspace_priority)
         return self.router.admit(call, now)[0]
 
-    def hear(self, now: float, *waiting: WaitingCalls, seq: int = 1) -> None:
+    def receive_waiting(self, now: float, *waiting: WaitingCalls, seq: int = 1) -> None:
         self.router.receive_digest(Digest('peer', 'x', seq=seq, waiting=waiting), now)
 
     def test_an_arrival_waits_for_calls_of_its_rank_that_wait_elsewhere_for_long(self):
-        self.hear(1.0, WaitingCalls(SERVICE_KEY, 4, 3, 0.2))
+        self.receive_waiting(1.0, WaitingCalls(SERVICE_KEY, 4, 3, 0.2))
         self.assertIsInstance(self.admit('same', 1.0), Queued)
         self.assertEqual([], self.router.tick(1.02))
         self.assertIsInstance(self.router.tick(self.router.next_due(1.02))[0], Placed)
@@ -99,35 +99,37 @@
         self.router.tick(1.9)
         for number in range(4):
             self.router.attempt_ended(f'{number}', Outcome.DONE, 1.95)
-        self.hear(2.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
+        self.receive_waiting(2.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
         self.assertIsInstance(self.admit('held', 2.0, seconds=0.2), Queued)
         self.assertIsInstance(self.router.tick(self.router.next_due(2.0))[0], Placed)
 
     def test_a_more_urgent_arrival_or_one_after_short_waits_starts(self):
-        self.hear(1.0, WaitingCalls(SERVICE_KEY, 4, 3, 0.2), WaitingCalls(SERVICE_KEY, 0, 1, 0.05))
+        self.receive_waiting(
+            1.0, WaitingCalls(SERVICE_KEY, 4, 3, 0.2), WaitingCalls(SERVICE_KEY, 0, 1, 0.05)
+        )
         self.assertIsInstance(self.admit('urgent', 1.0, workspace_priority=0), Placed)
 
     def test_counts_out_of_date_hold_nothing_back(self):
-        self.hear(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
+        self.receive_waiting(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
         self.assertIsInstance(self.admit('later', 1.6), Placed)
 
     def test_a_late_or_duplicated_digest_does_not_bring_counts_back(self):
-        self.hear(1.0, seq=2)
-        self.hear(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2), seq=1)
+        self.receive_waiting(1.0, seq=2)
+        self.receive_waiting(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2), seq=1)
         self.assertIsInstance(self.admit('next', 1.0), Placed)
 
     def test_a_hold_ends_with_the_wait_elsewhere(self):
-        self.hear(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
+        self.receive_waiting(1.0, WaitingCalls(SERVICE_KEY, 0, 3, 0.2))
         self.admit('held', 1.0)
         decisions = self.router.receive_digest(Digest('peer', 'x', seq=2), 1.01)
         self.assertEqual(['held'], [one.call_id for one in decisions])
 
     def test_a_box_that_always_reports_waiting_calls_wastes_little_room(self):
-        """Guards against a box that is wrong or lies: holds take at most 5 in 100 of the time."""
+        """Guards against false counts: holds take at most 5 in 100 of the time."""
         held = 0
         for step in range(400):
             now = 1.0 + 0.05 * step
-            self.hear(now, WaitingCalls(SERVICE_KEY, 0, 10**6, 9.0), seq=step + 1)
+            self.receive_waiting(now, WaitingCalls(SERVICE_KEY, 0, 10**6, 9.0), seq=step + 1)
             self.router.tick(now)
             held += isinstance(self.admit(f'{step}', now), Queued)
             self.router.tick(now + HOLD_SECONDS)
