Keep to the shares of brittle servers where concurrency limits are learned

Cause: learned limits chose among all servers with room by this box's limit and left out the set of brittle servers at which this box has used its share, which only the load of the candidates carried.

--- a/packages/routing/seamhold_routing/service.py
+++ b/packages/routing/seamhold_routing/service.py
@@ -263,7 +263,9 @@
         """Whether concurrency limits replace the reported load of this service's engines."""
         return self.plan.learned_concurrency and self._load_unreported
 
-    def _choose_by_limits(self, candidates: RankedEngines, now: float) -> Choice | None:
+    def _choose_by_limits(
+        self, candidates: RankedEngines, full: Collection[str], now: float
+    ) -> Choice | None:
         """Pick the engine with the shortest expected response time within its limit.
 
         An engine in another failure domain is rated as if it had one more call.  One whose
@@ -272,7 +274,7 @@
         """
         best = None
         for position, engine in enumerate(candidates):
-            if engine.name in self._full or engine.own_calls >= engine.slots:
+            if engine.name in full or engine.own_calls >= engine.slots:
                 continue
             if not self._concurrency.of(engine.name, engine.slots).allows(now):
                 continue
@@ -355,6 +357,7 @@
         serving = self._refresh(now)
         other_versions = _other_versions(serving.engines, call.version)
         holders = self._holders.engines_holding(call.chat, now) if call.sticky else []
+        full = self._full_engines(now) | self._without_share(serving, now)
         candidates = RankedEngines(
             call.chat,
             call.excluded | other_versions | self._throttled(serving, now),
@@ -363,7 +366,7 @@
             self._loads,
             holders,
             self._local,
-            self._full_engines(now) | self._without_share(serving, now),
+            full,
             now,
         )
         totals = Totals(
@@ -384,7 +387,7 @@
         elif call.sticky:
             choice = self._chooser(candidates, totals, call.work, self.plan.bound, hint)
         elif self.learns_concurrency:
-            choice = self._choose_by_limits(candidates, now)
+            choice = self._choose_by_limits(candidates, full, now)
         else:
             choice = choose_least_loaded(candidates, call.work, self._local)
         if choice is None:
--- a/tests/test_concurrency_limits.py
+++ b/tests/test_concurrency_limits.py
@@ -8,7 +8,7 @@
 import testtools
 
 from seamhold_attempts.retry import Outcome
-from seamhold_messages.fleet import Engine
+from seamhold_messages.fleet import Box, Engine
 from seamhold_messages.work import Call, Placed, Queued, Refused, Work
 from seamhold_placement.concurrency import (
     MAX_PAUSE_SECONDS,
@@ -230,6 +230,15 @@
             if isinstance(one, Placed):
                 decisions += self.answer(one.call_id, now + 0.02)
 
+    def test_a_brittle_server_gets_no_more_than_this_box_s_share(self):
+        """Guards against brittle servers that fall over, as limits alone exceed their slots."""
+        self.router.set_boxes([Box(f'box-{number}', '') for number in range(1, 4)], 0.0)
+        for number in range(20):
+            self.answer_all([f'{number}-{call}' for call in range(8)], 0.1 * number)
+        self.router.engine_brittle('a', True, 2.5)
+        placed = [self.admit(str(number), 2.5) for number in range(SLOTS)]
+        self.assertEqual(SLOTS // 3, sum(isinstance(one, Placed) for one in placed))
+
     def retry_after(self, outcome: Outcome) -> object:
         self.answer_first()
         self.admit('1', 0.1)
