Let a box of the dialect that starts use no share by demand until its peers report

Found while reading the change: only the own dialect's process called wait_for_peers. With brittle_slots_by_demand, which is off by default, a box of the platform that restarts could use slots that its peers had not left to it.

--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -94,6 +94,7 @@
         clock = environment.monotonic
         self.store = dialect.store(config.platform_url)
         router = Router(config.box, self.incarnation, failure_domain=config.failure_domain)
+        router.slots.wait_for_peers()
         self.decider = Decider(router, clock, config.evacuations)
         self.settings_task = SettingsTask(self.metrics, self._settings_changed)
         self.budgets = RetryBudgets(clock)
