--- a/review/8/case.py
+++ b/review/8/case.py
@@ -109,13 +109,16 @@
     platform = Platform(fleet, record)
     watching = asyncio.create_task(platform.watch())
     count = round(USUAL_UPLOADS * BURST) if TROUBLE else USUAL_UPLOADS
-    for _ in range(ROUNDS):
-        began = time.monotonic()
-        await play_round(fleet, record, count)
-        await asyncio.sleep(CALM_SECONDS)
-        await fleet.wait_ready()
-        record.line(f'round of {time.monotonic() - began:.1f} s; peaks in MB {platform.peaks}')
-    watching.cancel()
+    try:
+        for _ in range(ROUNDS):
+            began = time.monotonic()
+            await play_round(fleet, record, count)
+            await asyncio.sleep(CALM_SECONDS)
+            await fleet.wait_ready()
+            seconds = time.monotonic() - began
+            record.line(f'round of {seconds:.1f} s; peaks in MB {platform.peaks}')
+    finally:
+        watching.cancel()
     record.line(f'processes that ended over their memory: {platform.ends}')
     return sum(ends >= ENDS_MIN for ends in platform.ends.values()) >= 2
 
--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.request
@@ -243,6 +244,11 @@
 
 def play(folder: Path, scenario) -> int:
     """Run a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    if not (ROOT / 'target' / 'deps').is_dir():
+        print('build first: sh deploy/build.sh', file=sys.stderr)
+        return 2
+    # Ends the processes of the case, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     record.line(f'trouble: {TROUBLE}')
 
