--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -32,16 +32,22 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
     """Return a port that is free now, below those that the kernel gives to connections."""
     while True:
         port = random.randint(*PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
-            return port
+        _given_ports.add(port)
+        return port
 
 
 def route(prefix: str, service: str, kind: str = 'safe', **fields) -> dict:
