--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,100 +1,83 @@
-"""More clients than usual connect and send their first request some seconds later."""
+"""A box that gets SIGTERM while calls wait in its queue."""
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.common2.fleet import (
-    HOST_NAME,
-    KEY,
-    TROUBLE,
-    Box,
-    Call,
-    Fleet,
-    Record,
-    configuration,
-    play,
-    route,
-)
-from review.common2.http import encode, read_message
-from review.common2.store import HOST
+from review.common2.fleet import TROUBLE, Call, Fleet, Record, configuration, play, route
 from review.common2.worker import Worker
 
-BOXES = 2
-TIMEOUT_MS = 1500
-DEADLINE_MS = 3000
-HALF_SECOND = 0.5
-#: idleTimeoutMs of the configuration; clients use connections idle for four fifths of it.
-IDLE_SECONDS = 15.0 * 0.7
-USUAL_CLIENTS = 80
-#: `burst` of the site files: 1.7 times the usual traffic.
-BURST = 1.7
-PAUSE_SECONDS = 0.2
-UNANSWERED_MIN = 8
+WORK_SECONDS = 2.2
+SLOTS = 2
+#: Five rounds of four calls: the last ends after 11 s, within the deadline.
+CALLS = 20
+DEADLINE_MS = 15_000
+LOSS_SLACK_SECONDS = 0.2
+GRACE_SECONDS = 8.0
+SIGTERM_AFTER_SECONDS = 0.1
 
 
-async def connect_and_wait(box: Box, number: int, record: Record) -> int:
-    """Connect, stay idle, and send one request; return the answer's status."""
-    reader, writer = await asyncio.open_connection(HOST, box.front)
-    await asyncio.sleep(IDLE_SECONDS)
-    request_id = f'idle{number:04d}'
-    headers = {'Host': HOST_NAME, 'X-Seamhold-Attempt-Id': request_id}
-    headers |= {'Authorization': f'Bearer {KEY}'}
-    headers['X-Seamhold-Deadline-Remaining-Ms'] = str(DEADLINE_MS)
-    try:
-        writer.write(encode('GET /claims/2f HTTP/1.1', headers))
-        async with asyncio.timeout(DEADLINE_MS / 1000):
-            answer = await read_message(reader)
-        status = answer.status if answer is not None else 0
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
-        status = 0
-    writer.close()
-    record.line(f'{request_id} to {box.name} after {IDLE_SECONDS} s of idleness: {status}')
-    return status
+def is_lost(call: Call, workers: list[Worker], term_at: float) -> bool:
+    """Whether the rule LOST counts the call."""
+    if call.status or call.ended_at - call.sent_at <= LOSS_SLACK_SECONDS:
+        return False
+    if call.ended_at - call.sent_at >= DEADLINE_MS / 1000:
+        return False
+    # A worker that was at work in the last sixth of the grace period excuses the cut.
+    return not any(
+        run_id == call.id and began + WORK_SECONDS > term_at + GRACE_SECONDS * 5 / 6
+        for worker in workers
+        for began, run_id in worker.ran
+    )
 
 
 async def scenario(fleet: Fleet, record: Record) -> bool:
-    """Let clients connect, and send requests of others meanwhile."""
+    """Fill the workers and the queue of one box, and stop that box."""
     fleet.store.put(
         'config',
         'main',
-        configuration(1, [route('/claims/', 'app', timeoutMs=TIMEOUT_MS)], ['app']),
+        configuration(
+            1,
+            [route('/claims/', 'app', 'unsafe', attempts=1, timeoutMs=DEADLINE_MS)],
+            ['app'],
+        ),
     )
-    for number in range(3):
-        await Worker(f'i-{number}', 'app', slots=64, work=0.05).start(fleet.store)
-    await fleet.start_boxes(BOXES)
+    workers = [
+        await Worker(f'i-{number}', 'app', slots=SLOTS, work=WORK_SECONDS).start(fleet.store)
+        for number in range(2)
+    ]
+    await fleet.start_boxes(3)
     await asyncio.sleep(4.0)
     box = fleet.boxes[0]
-    count = round(USUAL_CLIENTS * BURST) if TROUBLE else USUAL_CLIENTS
-    record.line(f'{count} clients connect to {box.name}')
-    idle = [asyncio.create_task(connect_and_wait(box, one, record)) for one in range(count)]
-    await asyncio.sleep(1.0)
-    calls, sending = [], []
-    ends = time.monotonic() + IDLE_SECONDS - 4.0
-    while time.monotonic() < ends:
-        calls.append(Call(box, '/claims/2f', DEADLINE_MS))
-        sending.append(asyncio.create_task(calls[-1].run()))
-        await asyncio.sleep(PAUSE_SECONDS)
-    ready = [await asyncio.to_thread(box.is_ready)]
+    calls = [Call(box, '/claims/2f', DEADLINE_MS) for _ in range(CALLS)]
+    sending = []
+    for call in calls:
+        sending.append(asyncio.create_task(call.run('POST', b'{}')))
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(SIGTERM_AFTER_SECONDS)
+    term_at = time.monotonic()
+    if TROUBLE:
+        record.line(f'SIGTERM to {box.name}')
+        box.signal(signal.SIGTERM)
     await asyncio.gather(*sending)
-    late = later = 0
+    exited = box.process.poll()
+    record.line(f'process of {box.name} exited with {exited}')
+    lost = 0
     for call in calls:
-        seconds = call.ended_at - call.sent_at
-        unanswered = not call.status
-        late += unanswered or seconds > TIMEOUT_MS / 1000
-        later += unanswered or seconds > TIMEOUT_MS / 1000 + HALF_SECOND
+        runs = [began for worker in workers for began, run_id in worker.ran if run_id == call.id]
+        counts = is_lost(call, workers, term_at)
+        lost += counts
         record.line(f'{call.id} sent', call.sent_at)
-        record.line(f'{call.id} {call.status} {call.error}', call.ended_at)
-    statuses = await asyncio.gather(*idle)
-    record.line(f'{box.name} said that it is ready: {ready}')
-    record.line(f'answers to the clients that were idle: {sorted(set(statuses))}')
-    record.line(
-        f'of {len(calls)} requests {late} had no answer at timeoutMs, {later} half a second later'
-    )
-    return later >= UNANSWERED_MIN and later > late / 2
+        for began in runs:
+            record.line(f'{call.id} a worker runs it', began)
+        result = f'answer {call.status}' if call.status else call.error
+        record.line(f'{call.id} {result}{", LOST" if counts else ""}', call.ended_at)
+    record.line(f'lost: {lost} of {CALLS}')
+    return lost > 0
 
 
 if __name__ == '__main__':
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A configuration with one more tenant, whose rank comes after those of the ten others."""
+"""The boxes that watch the store are cut from it, and the configuration changes."""
 
 import asyncio
 import sys
@@ -7,68 +7,105 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.common2.fleet import TROUBLE, Call, Fleet, Record, configuration, play, route
+from review.common2.fleet import (
+    TROUBLE,
+    Box,
+    Call,
+    CannotRun,
+    Fleet,
+    Record,
+    configuration,
+    play,
+    route,
+)
 from review.common2.worker import Worker
 
-BOXES = 3
-TENANTS = 10
+BOXES = 12
+#: node_cut strikes at most 0.35 of the machines.
+CUT_SHARE_MAX = 0.35
+CUT_SECONDS = 4.0
 CONFIG_APPLY_SECONDS = 2.0
-DROPPED_KEY = 'dropped8k2jx0v7qwn4'
-NEW_KEY = 'newcomer5h1zt9c3mbd6'
-ROUNDS = 20
-PAUSE_SECONDS = 0.25
-CALM_SECONDS = 4.0
+#: The cut boxes are back in touch before the next round, and so is all else.
+CALM_SECONDS = 6.5
+#: Boxes that start together all watch the store at first.
+SETTLING_SECONDS = 10.0
+ROUNDS = 6
+#: Some watch begins every second; the cut comes at most this long after one has begun.
+PHASE_SECONDS = 0.3
+SERVICES = ('old', 'new')
+PAUSE_SECONDS = 0.02
 
 
-def tenants(count: int, dropped: bool) -> list[dict]:
-    """Return tenants with one rank each; the first one has a second key unless it is dropped."""
-    listed = [
-        {'name': f'tenant-{rank}', 'apiKeys': [f'key-of-tenant-{rank}'], 'priority': rank}
-        for rank in range(count)
+def configure(fleet: Fleet, version: int) -> str:
+    """Move the route to the other service; return the service's name."""
+    service = SERVICES[version % 2]
+    fleet.store.put('config', 'main', configuration(version, [route('/a/', service)], [*SERVICES]))
+    return service
+
+
+def watching(fleet: Fleet) -> list[Box]:
+    """Return the boxes that have begun a watch lately."""
+    now = asyncio.get_running_loop().time()
+    return [
+        box for box in fleet.boxes if box.door.last_watch_at and now - box.door.last_watch_at < 4.2
     ]
-    if not dropped:
-        listed[0]['apiKeys'].append(DROPPED_KEY)
-    if count > TENANTS:
-        listed[-1]['apiKeys'] = [NEW_KEY]
-    return listed
 
 
-def configure(fleet: Fleet, version: int, listed: list[dict]) -> None:
-    """Write a configuration with these tenants."""
-    values = configuration(version, [route('/claims/', 'app')], ['app'])
-    fleet.store.put('config', 'main', values | {'tenants': listed})
+async def play_round(fleet: Fleet, record: Record, version: int) -> int:
+    """Cut, change and heal; return how many requests an older version's service ran."""
+    loop = asyncio.get_running_loop()
+    while loop.time() - max(box.door.last_watch_at for box in fleet.boxes) > PHASE_SECONDS:
+        await asyncio.sleep(0.01)
+    cut = watching(fleet)
+    record.line(f'boxes that watch the store: {[box.name for box in cut]}')
+    if not cut or len(cut) > CUT_SHARE_MAX * BOXES:
+        raise CannotRun(f'{len(cut)} boxes watch the store')
+    if TROUBLE:
+        await asyncio.gather(*(box.door.cut() for box in cut))
+        record.line('these boxes are cut from the store')
+    service = configure(fleet, version)
+    acknowledged_at = time.monotonic()
+    record.line(f'the store acknowledges version {version}: the route leads to {service}')
+    in_touch = [box for box in fleet.boxes if box not in cut]
+    calls: list[asyncio.Task] = []
+    while time.monotonic() < acknowledged_at + CUT_SECONDS:
+        calls += [asyncio.create_task(Call(box, '/a/x', 3000).run()) for box in in_touch]
+        await asyncio.sleep(PAUSE_SECONDS * len(in_touch))
+    stale = 0
+    for call in await asyncio.gather(*calls):
+        after = call.sent_at - acknowledged_at
+        ran_by = call.body.decode() if call.status == 200 else ''
+        if after > CONFIG_APPLY_SECONDS and ran_by.startswith(('old', 'new')):
+            counts = not ran_by.startswith(service)
+            stale += counts
+            note = ', STALE' if counts else ''
+            record.line(
+                f'{call.id} to {call.box.name} {after:.3f} s after the acknowledgement: '
+                f'run by {ran_by}{note}',
+                call.sent_at,
+            )
+        elif call.status != 200:
+            record.line(f'{call.id} {call.status} {call.error}', call.sent_at)
+    if TROUBLE:
+        await asyncio.gather(*(box.door.heal() for box in cut))
+        record.line('the cut has healed')
+    record.line(f'round {version - 1}: {stale} requests by the older version')
+    await asyncio.sleep(CALM_SECONDS)
+    return stale
 
 
 async def scenario(fleet: Fleet, record: Record) -> bool:
-    """Add a tenant and drop a key; see how requests with either key are handled."""
-    configure(fleet, 1, tenants(TENANTS, dropped=False))
-    for number in range(2):
-        await Worker(f'i-{number}', 'app', slots=16).start(fleet.store)
+    """Play some rounds."""
+    configure(fleet, 1)
+    for service in SERVICES:
+        for number in range(2):
+            await Worker(f'{service}-{number}', service, slots=16).start(fleet.store)
     await fleet.start_boxes(BOXES)
-    await asyncio.sleep(CALM_SECONDS)
-    acknowledged_at = time.monotonic()
-    if TROUBLE:
-        configure(fleet, 2, tenants(TENANTS + 1, dropped=True))
-        record.line('the store acknowledges version 2: one more tenant, and one key less')
-    await asyncio.sleep(CONFIG_APPLY_SECONDS + 0.1)
-    expected = {DROPPED_KEY: 401 if TROUBLE else 200, 'key-of-tenant-0': 200}
-    if TROUBLE:
-        expected[NEW_KEY] = 200
+    await asyncio.sleep(SETTLING_SECONDS)
     stale = 0
-    for _ in range(ROUNDS):
-        for box in fleet.boxes:
-            for key, status in expected.items():
-                call = await Call(box, '/claims/2f', 3000).run(key=key)
-                after = call.sent_at - acknowledged_at
-                counts = call.status in (200, 401, 404) and call.status != status
-                stale += counts
-                record.line(
-                    f'{call.id} to {call.box.name} with {key}, {after:.2f} s after the '
-                    f'acknowledgement: {call.status}{call.error}{", STALE" if counts else ""}',
-                    call.sent_at,
-                )
-        await asyncio.sleep(PAUSE_SECONDS)
-    record.line(f'requests handled as only the older version allows: {stale}')
+    for version in range(2, 2 + ROUNDS):
+        stale += await play_round(fleet, record, version)
+    record.line(f'requests by an older version: {stale}')
     return stale > 0
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,126 +1,75 @@
-"""Many uploads within the limits of the configuration at once: the memory of a box."""
+"""A configuration with one more tenant, whose rank comes after those of the ten others."""
 
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.common2.fleet import (
-    TROUBLE,
-    Box,
-    Call,
-    Fleet,
-    Record,
-    configuration,
-    play,
-    route,
-)
+from review.common2.fleet import TROUBLE, Call, Fleet, Record, configuration, play, route
 from review.common2.worker import Worker
 
-BOXES = 2
-#: limits.memoryMb of the deployments' machines: a process over it is killed.
-MEMORY_MB = 300
-#: maxBodyBytes of the configuration, as in the site files.
-BODY = b'x' * (4 * 1024 * 1024)
-USUAL_UPLOADS = 48
-#: `burst` of the site files: 1.7 times the usual traffic.
-BURST = 1.7
-WORK_SECONDS = 4.0
-DEADLINE_MS = 10_000
-#: Uploads begin over this long: the link of a machine carries 125 MB/s.
-SPREAD_SECONDS = 3.0
-ROUNDS = 3
-ENDS_MIN = 3
-CHECK_SECONDS = 0.02
-RESTART_SECONDS = 1.0
+BOXES = 3
+TENANTS = 10
+CONFIG_APPLY_SECONDS = 2.0
+DROPPED_KEY = 'dropped8k2jx0v7qwn4'
+NEW_KEY = 'newcomer5h1zt9c3mbd6'
+ROUNDS = 20
+PAUSE_SECONDS = 0.25
 CALM_SECONDS = 4.0
 
 
-def resident_mb(box: Box) -> float:
-    """Return the resident memory of a box's process."""
-    try:
-        status = Path(f'/proc/{box.process.pid}/status').read_text()
-    except OSError:
-        return 0.0
-    sizes = [line.split()[1] for line in status.splitlines() if line.startswith('VmRSS')]
-    return int(sizes[0]) / 1024 if sizes else 0.0
+def tenants(count: int, dropped: bool) -> list[dict]:
+    """Return tenants with one rank each; the first one has a second key unless it is dropped."""
+    listed = [
+        {'name': f'tenant-{rank}', 'apiKeys': [f'key-of-tenant-{rank}'], 'priority': rank}
+        for rank in range(count)
+    ]
+    if not dropped:
+        listed[0]['apiKeys'].append(DROPPED_KEY)
+    if count > TENANTS:
+        listed[-1]['apiKeys'] = [NEW_KEY]
+    return listed
 
 
-class Platform:
-    """Kills processes over their memory limit, and starts them again."""
-
-    def __init__(self, fleet: Fleet, record: Record):
-        self._fleet = fleet
-        self._record = record
-        self.peaks = {box.name: 0.0 for box in fleet.boxes}
-        self.ends = {box.name: 0 for box in fleet.boxes}
-
-    async def watch(self) -> None:
-        """Check all boxes until cancelled."""
-        while True:
-            for box in self._fleet.boxes:
-                used = resident_mb(box)
-                self.peaks[box.name] = max(self.peaks[box.name], used)
-                if used > MEMORY_MB:
-                    await self._end(box, used)
-            await asyncio.sleep(CHECK_SECONDS)
-
-    async def _end(self, box: Box, used: float) -> None:
-        self.ends[box.name] += 1
-        self._record.line(f'{box.name} holds {used:.0f} MB: over its limit, the platform kills it')
-        box.signal(signal.SIGKILL)
-        box.process.wait()
-        await asyncio.sleep(RESTART_SECONDS)
-        box.start()
-
-
-async def play_round(fleet: Fleet, record: Record, count: int) -> None:
-    """Send `count` uploads to each box, and wait for their answers."""
-    calls = []
-    sending = []
-    for _ in range(count):
-        for box in fleet.boxes:
-            calls.append(Call(box, '/claims/2f', DEADLINE_MS))
-            sending.append(asyncio.create_task(calls[-1].run('POST', BODY)))
-        await asyncio.sleep(SPREAD_SECONDS / count)
-    await asyncio.gather(*sending)
-    results: dict[str, int] = {}
-    for call in calls:
-        result = f'answer {call.status}' if call.status else call.error
-        results[result] = results.get(result, 0) + 1
-        record.line(f'{call.id} to {call.box.name}: {result}', call.ended_at)
-    record.line(f'{count} uploads to each box: {results}')
+def configure(fleet: Fleet, version: int, listed: list[dict]) -> None:
+    """Write a configuration with these tenants."""
+    values = configuration(version, [route('/claims/', 'app')], ['app'])
+    fleet.store.put('config', 'main', values | {'tenants': listed})
 
 
 async def scenario(fleet: Fleet, record: Record) -> bool:
-    """Play some rounds of the usual traffic, or of the burst."""
-    fleet.store.put(
-        'config',
-        'main',
-        configuration(1, [route('/claims/', 'app', 'unsafe', attempts=1)], ['app']),
-    )
-    for number in range(4):
-        await Worker(f'i-{number}', 'app', slots=64, work=WORK_SECONDS).start(fleet.store)
+    """Add a tenant and drop a key; see how requests with either key are handled."""
+    configure(fleet, 1, tenants(TENANTS, dropped=False))
+    for number in range(2):
+        await Worker(f'i-{number}', 'app', slots=16).start(fleet.store)
     await fleet.start_boxes(BOXES)
     await asyncio.sleep(CALM_SECONDS)
-    platform = Platform(fleet, record)
-    watching = asyncio.create_task(platform.watch())
-    count = round(USUAL_UPLOADS * BURST) if TROUBLE else USUAL_UPLOADS
-    try:
-        for _ in range(ROUNDS):
-            began = time.monotonic()
-            await play_round(fleet, record, count)
-            await asyncio.sleep(CALM_SECONDS)
-            await fleet.wait_ready()
-            seconds = time.monotonic() - began
-            record.line(f'round of {seconds:.1f} s; peaks in MB {platform.peaks}')
-    finally:
-        watching.cancel()
-    record.line(f'processes that ended over their memory: {platform.ends}')
-    return sum(ends >= ENDS_MIN for ends in platform.ends.values()) >= 2
+    acknowledged_at = time.monotonic()
+    if TROUBLE:
+        configure(fleet, 2, tenants(TENANTS + 1, dropped=True))
+        record.line('the store acknowledges version 2: one more tenant, and one key less')
+    await asyncio.sleep(CONFIG_APPLY_SECONDS + 0.1)
+    expected = {DROPPED_KEY: 401 if TROUBLE else 200, 'key-of-tenant-0': 200}
+    if TROUBLE:
+        expected[NEW_KEY] = 200
+    stale = 0
+    for _ in range(ROUNDS):
+        for box in fleet.boxes:
+            for key, status in expected.items():
+                call = await Call(box, '/claims/2f', 3000).run(key=key)
+                after = call.sent_at - acknowledged_at
+                counts = call.status in (200, 401, 404) and call.status != status
+                stale += counts
+                record.line(
+                    f'{call.id} to {call.box.name} with {key}, {after:.2f} s after the '
+                    f'acknowledgement: {call.status}{call.error}{", STALE" if counts else ""}',
+                    call.sent_at,
+                )
+        await asyncio.sleep(PAUSE_SECONDS)
+    record.line(f'requests handled as only the older version allows: {stale}')
+    return stale > 0
 
 
 if __name__ == '__main__':
--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -12,6 +12,7 @@
 import time
 import urllib.request
 import uuid
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from .http import encode, read_message
@@ -164,15 +165,26 @@
         self.store = Store()
         self.boxes: list[Box] = []
 
-    async def start_boxes(self, count: int, zones: tuple[str, ...] = ('a', 'b', 'c', 'd')) -> None:
-        """Start boxes and wait until all are ready."""
+    async def start_boxes(
+        self,
+        count: int,
+        zones: tuple[str, ...] = ('a', 'b', 'c', 'd'),
+        prepare: Callable[[Box], Awaitable[None]] | None = None,
+        with_seeds: bool = True,
+    ) -> None:
+        """Start boxes, each after `prepare`, and wait until all are ready.
+
+        Without seeds, each box has only its own address as one.
+        """
         for number in range(count):
             zone = zones[number % len(zones)]
             name = f'front-{zone}-{number // len(zones) + 1}'
             self.boxes.append(Box(name, zone, self.folder, await self.store.door()))
         seeds = [f'{HOST}:{box.control}' for box in self.boxes[:3]]
         for box in self.boxes:
-            box.write_file(seeds)
+            if prepare is not None:
+                await prepare(box)
+            box.write_file(seeds if with_seeds else [f'{HOST}:{box.control}'])
             box.start()
         await self.wait_ready()
 
--- a/review/common2/store.py
+++ b/review/common2/store.py
@@ -123,6 +123,14 @@
         self._accepting: asyncio.Task | None = None
         self._uncut = asyncio.Event()
         self._uncut.set()
+        #: The addresses at which this machine reaches servers, by name, where they are its own.
+        self.server_addresses: dict[str, str] = {}
+        #: For some kinds of objects: when their lists and their watches are answered.
+        self.lists: dict[str, asyncio.Event] = {}
+        self.watched: dict[str, asyncio.Event] = {}
+        #: The kinds of which a list has been asked for, and answered.
+        self.asked: set[str] = set()
+        self.listed: set[str] = set()
         self.watches = 0
         self.last_watch_at = 0.0
         self.last_watch_seconds = 0.0
@@ -154,17 +162,37 @@
                     self.watches += 1
                     self.last_watch_at = asyncio.get_running_loop().time()
                     self.last_watch_seconds = int(query['waitMs'][0]) / 1000
+                kind = urlsplit(request.target).path.removeprefix(PREFIX)
+                if request.method == 'GET':
+                    self.asked.add(kind)
+                    held = self.watched if 'watch' in query else self.lists
+                    if kind in held:
+                        await held[kind].wait()
                 status, value = await self._store.answer(request)
                 await self._uncut.wait()
-                body = json.dumps(value).encode()
+                body = json.dumps(self._shown(value)).encode()
                 headers = {'Content-Type': 'application/json'}
                 writer.write(encode(f'HTTP/1.1 {status} S', headers, body))
                 await writer.drain()
+                if request.method == 'GET':
+                    self.listed.add(kind)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
+    def _shown(self, value: dict) -> dict:
+        """Return an answer with this machine's addresses of the servers."""
+        if 'items' in value:
+            return value | {'items': [self._shown(item) for item in value['items']]}
+        if 'events' in value:
+            events = [event | {'object': self._shown(event['object'])} for event in value['events']]
+            return value | {'events': events}
+        address = self.server_addresses.get(value.get('metadata', {}).get('name', ''))
+        if address is None:
+            return value
+        return value | {'spec': value['spec'] | {'address': address}}
+
     async def cut(self) -> None:
         """Let nothing through any more, in either direction."""
         self._uncut.clear()
