--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -18,6 +18,7 @@
 from seamhold_platform import bounded_pools
 
 from .clock import boot_seconds
+from .framing import framing_of
 from .ports import AttemptFailed, Cancellation, EngineLoad, EngineRequest, whole_body
 from .probing import refuses_connections, was_refused
 from .streams import EventStreamCheck
@@ -49,6 +50,8 @@
         #: Only refusals of these servers say that they leave.
         self.leaving = False
         self.brittle = False
+        self.framing = framing_of(response)
+        self.carrier = ''
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raises AttemptFailed if it is cut."""
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -27,6 +27,7 @@
 from seamhold_platform import BoundedSocket
 
 from ..clock import boot_seconds
+from ..framing import framing_of
 from ..ports import (
     Answer,
     AttemptFailed,
@@ -41,6 +42,7 @@
 from ..probing import refuses_connections, was_refused
 from .engine_access import EngineAccess
 from .events import EventCheck
+from .tunnel_socket import TunnelSocket
 from .tunnels import EngineNotReached, Tunnels
 
 #: Limit on connecting, in seconds.  Nothing has been sent by then, so the call can go to
@@ -89,7 +91,7 @@
     def __init__(
         self,
         connection: HTTPConnection,
-        connected: socket.socket,
+        connected: socket.socket | TunnelSocket,
         response,
         deadline: float,
         clock: Callable[[], float],
@@ -108,6 +110,8 @@
         self.load_unreadable = False
         self.leaving = False
         self.brittle = False
+        self.framing = framing_of(response)
+        self.carrier = connected.carrier if isinstance(connected, TunnelSocket) else ''
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received; raises AttemptFailed if it is cut."""
--- a/packages/router/seamhold/forwarding/events.py
+++ b/packages/router/seamhold/forwarding/events.py
@@ -1,7 +1,7 @@
 """Checks the framing of an event stream that passes through, not its content."""
 
 EVENT_END = b'\n\n'
-ID_LINE = b'id:'
+ID_START = b'\nid:'
 #: An event larger than this is not passed on.
 PENDING_MAX_BYTES = 1024 * 1024
 
@@ -12,6 +12,8 @@
     def __init__(self, resume_after: str = ''):
         self.foreign = False
         self.position = resume_after
+        self.events = 0
+        self.first = ''
         self._pending = b''
 
     def feed(self, data: bytes) -> bytes:
@@ -25,14 +27,16 @@
         cut += len(EVENT_END)
         ready, self._pending = data[:cut], data[cut:]
         self._record_position(ready)
+        self.events += ready.count(EVENT_END)
         return ready
 
     def _record_position(self, events: bytes) -> None:
-        start = events.rfind(b'\n' + ID_LINE) + 1
-        if not start and not events.startswith(ID_LINE):
+        lines = b'\n' + events
+        last = lines.rfind(ID_START)
+        if last < 0:
             return
-        line = events[start + len(ID_LINE) : events.index(b'\n', start + 1)]
-        self.position = line.strip().decode('latin-1')
+        self.position = _id_at(lines, last)
+        self.first = self.first or _id_at(lines, lines.find(ID_START))
 
     def end(self) -> bool:
         """Return whether a stream that the server closed ended with a whole event."""
@@ -41,3 +45,10 @@
     def restart(self) -> None:
         """Drop an incomplete event, before the stream continues from another server."""
         self._pending = b''
+        self.events = 0
+        self.first = ''
+
+
+def _id_at(lines: bytes, start: int) -> str:
+    start += len(ID_START)
+    return lines[start : lines.index(b'\n', start)].strip().decode('latin-1')
--- a/packages/router/seamhold/forwarding/tunnel_socket.py
+++ b/packages/router/seamhold/forwarding/tunnel_socket.py
@@ -15,10 +15,11 @@
 
 
 class TunnelSocket:
-    """A connection to an engine, carried by a peer; created on the loop."""
+    """A connection to an engine, carried by the peer `carrier`; created on the loop."""
 
-    def __init__(self, tunnel: Tunnel):
+    def __init__(self, tunnel: Tunnel, carrier: str):
         self._tunnel = tunnel
+        self.carrier = carrier
         self._loop = asyncio.get_running_loop()
         self._timeout: float | None = None
         self._changed = threading.Condition()
--- a/packages/router/seamhold/forwarding/tunnels.py
+++ b/packages/router/seamhold/forwarding/tunnels.py
@@ -60,7 +60,7 @@
         """
         request = TunnelRequest(placed.engine, placed.incarnation)
         for box, client in self._carriers():
-            opening = self._peering.submit(_open(client, request))
+            opening = self._peering.submit(_open(box, client, request))
             try:
                 tunnel = opening.result(TUNNEL_SECONDS + SLACK_SECONDS)
             except (TunnelFailed, *PEER_ERRORS) as error:
@@ -91,5 +91,5 @@
         return [(name, clients[name]) for name in names[:CARRIERS_MAX]]
 
 
-async def _open(client: PeerClient, request: TunnelRequest) -> TunnelSocket:
-    return TunnelSocket(await client.open_tunnel(request, TUNNEL_SECONDS))
+async def _open(box: str, client: PeerClient, request: TunnelRequest) -> TunnelSocket:
+    return TunnelSocket(await client.open_tunnel(request, TUNNEL_SECONDS), box)
--- a/packages/router/seamhold/job.py
+++ b/packages/router/seamhold/job.py
@@ -20,6 +20,14 @@
     outcome: str = ''
     code: str = ''
     seconds: float = 0.0
+    #: What marks the end of the answer; '' if none began.
+    framing: str = ''
+    #: The peer that carried the connection; '' for a connection of this box's own.
+    carrier: str = ''
+    #: The events of the answer that were passed on, and the ids of the first and the last.
+    events: int = 0
+    first_event: str = ''
+    last_event: str = ''
     #: The load that the backend server reported; None if it did not.
     reported_load: EngineLoad | None = None
     #: Why the backend server refused the attempt; '' if it did not.
@@ -53,6 +61,11 @@
             'code': self.code,
             'refusal': self.refusal,
             'leaving': self.leaving,
+            'framing': self.framing,
+            'carrier': self.carrier,
+            'events': self.events,
+            'first_event': self.first_event,
+            'last_event': self.last_event,
             'rest': round(self.rest_seconds, 3),
             'answered': None
             if self.answered_at is None
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -17,6 +17,8 @@
 from seamhold_messages.work import Placed
 from seamhold_platform import ObjectKind, Page, PlatformObject, WatchEvent
 
+from .framing import Framing
+
 
 class EngineRequest(Struct, frozen=True):
     """A request to a backend server.
@@ -159,7 +161,8 @@
 
     `leaving` is whether the server said with it that it takes no new work, `brittle` whether it
     falls over if it turns away many calls.  `load_unreadable` is whether the server reported a
-    load that could not be read; `load` is then None.
+    load that could not be read; `load` is then None.  `carrier` is the peer that carries the
+    connection, '' if this box has connected to the server itself.
     """
 
     status: int
@@ -168,6 +171,8 @@
     load_unreadable: bool
     leaving: bool
     brittle: bool
+    framing: Framing
+    carrier: str
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives; raises AttemptFailed if it is cut."""
@@ -195,10 +200,14 @@
 class StreamCheck(Protocol):
     """Passes on whole events only, and tracks the state of a stream.
 
-    `foreign` is set if the stream carries events of another request.
+    `foreign` is set if the stream carries events of another request.  `events` is the number of
+    events that were passed on since the stream began or was last taken up, and `first` the id of
+    the first of them, '' for none.
     """
 
     foreign: bool
+    events: int
+    first: str
 
     @property
     def position(self) -> str:
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -248,7 +248,9 @@
             raise
         job.sent += 1
         self._reports.record_answer(job, placed, answer)
-        job.attempts[-1].answered_at = self._environment.monotonic()
+        attempt = job.attempts[-1]
+        attempt.answered_at = self._environment.monotonic()
+        attempt.framing, attempt.carrier = answer.framing, answer.carrier
         self._decider.send(AnswerStarted(job.call.id))
         return answer
 
@@ -362,6 +364,7 @@
                 try:
                     for events in self._events(watch, answer):
                         self._bind(job, placed)
+                        _record_events(job.attempts[-1], watch)
                         yield events
                     outcome = Outcome.DONE
                     return
@@ -420,6 +423,8 @@
     def _finish(self, job: Job, outcome: Outcome) -> None:
         if outcome in (Outcome.DONE, Outcome.CANCELLED):
             self._record_attempt(job, outcome)
+        if outcome is Outcome.DONE:
+            self._metrics.count(f'answer_ended.{job.attempts[-1].framing}')
         self._decider.send(AttemptEnded(job.call.id, outcome))
         job.guard.done()
         job.answered = outcome is Outcome.DONE
@@ -437,6 +442,11 @@
             self._trials.record_success(job.identity)
 
 
+def _record_events(attempt: Attempt, watch: StreamCheck) -> None:
+    attempt.events = watch.events
+    attempt.first_event, attempt.last_event = watch.first, watch.position
+
+
 def _read_ahead(chunks: Iterator[bytes], held: list[bytes], max_bytes: int) -> bool:
     """Add a body's parts to `held` up to `max_bytes`; return whether that is all of it."""
     size = 0
--- a/packages/router/seamhold/streams.py
+++ b/packages/router/seamhold/streams.py
@@ -14,14 +14,16 @@
 class EventStreamCheck:
     """Passes on whole events only, and tracks the state of the stream.
 
-    `events` counts the events with data that were passed on, which is the position from
+    `total` counts the events with data that were passed on, which is the position from
     which a stream is resumed.  `foreign` is set if events belong to another request.
     """
 
     def __init__(self, request_id: str):
         self._id = request_id.encode()
         self._pending = b''
-        self.events = 0
+        self._before = 0
+        self.total = 0
+        self.first = ''
         self.done = False
         self.foreign = False
 
@@ -40,14 +42,21 @@
         if ready.count(self._id) < objects:
             self.foreign = True
             return b''
-        self.events += objects
+        if objects and not self.first:
+            self.first = str(self.total + 1)
+        self.total += objects
         self.done = self.done or DONE_LINE in lines
         return ready
 
     @property
     def position(self) -> str:
         """The position from which the stream is resumed; '' before the first event."""
-        return str(self.events) if self.events else ''
+        return str(self.total) if self.total else ''
+
+    @property
+    def events(self) -> int:
+        """The events with data that were passed on since the stream began or was taken up."""
+        return self.total - self._before
 
     def end(self) -> bool:
         """Return whether the stream, which the engine closed, is complete."""
@@ -56,3 +65,4 @@
     def restart(self) -> None:
         """Prepare to continue from another engine; drops a partial event."""
         self._pending = b''
+        self._before, self.first = self.total, ''
