--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -50,6 +50,7 @@
 
     status = 200
     headers: ClassVar[dict] = {}
+    chunked = True
 
     def __init__(self, events: int):
         self.left = events
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -27,6 +27,7 @@
 
     status = 200
     headers: ClassVar[dict[str, str]] = {}
+    chunked = True
 
     def read1(self, _: int) -> bytes:
         return b'data: more\n\n'
