--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -262,6 +262,12 @@
     ran = Ran.UNKNOWN
 
 
+class AnswerEndUnproven(AnswerCut):
+    """The connection ended as an answer may, but its engine does not seem to be alive."""
+
+    code = 'answer_end_unproven'
+
+
 class AnswerMismatch(SeamholdError):
     """The engine answered with the id of another request."""
 
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -26,8 +26,9 @@
 from seamhold_messages.work import Placed
 from seamhold_platform import BoundedSocket
 
+from ..answer_ends import confirm_end
 from ..clock import boot_seconds
-from ..framing import framing_of
+from ..framing import Framing, framing_of
 from ..ports import (
     Answer,
     AttemptFailed,
@@ -39,7 +40,7 @@
     Verdict,
     whole_body,
 )
-from ..probing import refuses_connections, was_refused
+from ..probing import Life, find_life, life_at, refuses_connections, was_refused
 from .engine_access import EngineAccess
 from .events import EventCheck
 from .tunnel_socket import TunnelSocket
@@ -95,8 +96,11 @@
         response,
         deadline: float,
         clock: Callable[[], float],
+        confirm: Callable[[Framing, str], None],
     ):
         self._connection = connection
+        #: Called at the end of the bytes, with framing and carrier; raises AttemptFailed.
+        self._confirm = confirm
         self._clock = clock
         self._response = response
         self._deadline = deadline
@@ -126,6 +130,7 @@
             raise AttemptFailed(
                 Outcome.BROKEN, AnswerCut(f'the answer was cut: {error}')
             ) from error
+        self._confirm(self.framing, self.carrier)
 
     def _read(self) -> bytes:
         left = self._deadline - self._clock()
@@ -188,7 +193,11 @@
         except BaseException:
             connection.close()
             raise
-        answer = BackendAnswer(connection, connected, response, deadline, self._clock)
+
+        def confirm(framing: Framing, carrier: str) -> None:
+            confirm_end(framing, cancellation, lambda: self._life_of(placed, carrier))
+
+        answer = BackendAnswer(connection, connected, response, deadline, self._clock, confirm)
         try:
             self._check(answer, request)
         except BaseException:
@@ -322,6 +331,14 @@
             return False
         return self._access is None or self._access.reaches_others(placed.engine)
 
+    def _life_of(self, placed: Placed, carrier: str) -> Life:
+        """Return whether the server's process is alive, asked as this box reaches it now."""
+        tunnels, access = self._tunnels, self._access
+        cut_off = carrier or (access is not None and access.is_cut_off(placed.engine))
+        if tunnels is None or not cut_off:
+            return life_at(placed.address)
+        return find_life(lambda: _carried(tunnels, placed))
+
     def close(self) -> None:
         """Do nothing: no connection is kept between attempts."""
 
@@ -331,6 +348,17 @@
     return AttemptFailed(Outcome.NOT_SENT, unreachable, connection_refused=refused)
 
 
+def _carried(tunnels: Tunnels, placed: Placed) -> TunnelSocket:
+    """Return a connection through a peer; raises OSError, ConnectionRefusedError if refused."""
+    try:
+        carried = tunnels.open(placed)
+    except EngineNotReached as error:
+        raise (ConnectionRefusedError if error.refused else TimeoutError)(str(error)) from error
+    if carried is None:
+        raise TimeoutError('no peer carries a connection')
+    return carried
+
+
 def _abort(connection: socket.socket) -> None:
     """Shut a connection down, which wakes the thread that reads from it."""
     try:
--- a/packages/router/seamhold/probing.py
+++ b/packages/router/seamhold/probing.py
@@ -1,8 +1,10 @@
-"""Checks whether a backend server's process has ended."""
+"""Checks whether a backend server's process is alive or has ended."""
 
 import socket
 import time
-from enum import Enum, auto
+from collections.abc import Callable
+from enum import Enum, StrEnum, auto
+from typing import Protocol
 
 #: Connect timeout, in seconds.  A running server accepts within a few round trips, and a
 #: machine whose process ended refuses as fast; a timeout shows neither.
@@ -18,40 +20,90 @@
 PROBE_PAUSES_SECONDS = (0.0, 0.002, 0.01, 0.03, 0.1)
 
 
+class Life(StrEnum):
+    """Whether a server's process runs, as far as its address shows.
+
+    `ALIVE`: it accepts connections, even if it resets all of them, as a full server does.
+    `UNKNOWN`: nothing answers there, as when the machine has lost power or cannot be reached.
+    """
+
+    ALIVE = 'alive'
+    ENDED = 'ended'
+    UNKNOWN = 'unknown'
+
+
+class ProbedConnection(Protocol):
+    """The part of a connected socket that a probe uses."""
+
+    def settimeout(self, seconds: float | None) -> None:
+        """Limit each receive that follows, in seconds."""
+
+    def recv_into(self, buffer: memoryview) -> int:
+        """Receive bytes into a buffer; 0 at the end, raises OSError."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
 class _Found(Enum):
-    """The result of probing an address: refused, open and quiet, or reset."""
+    """The result of one probe: refused, no answer, open and quiet, or reset."""
 
     REFUSES = auto()
+    SILENT = auto()
     QUIET = auto()
     RESETS = auto()
 
 
+LIFE_BY_FOUND = {_Found.REFUSES: Life.ENDED, _Found.SILENT: Life.UNKNOWN, _Found.QUIET: Life.ALIVE}
+
+
 def refuses_connections(address: str) -> bool:
     """Whether no process listens at `address` (`ip:port`), or its process is ending.
 
     False where that is unknown: the machine is unreachable, or has lost power.
     """
+    return life_at(address) is Life.ENDED
+
+
+def life_at(address: str) -> Life:
+    """Return whether a process listens at `address` (`ip:port`) and is not ending."""
+    host, _, port = address.rpartition(':')
+    return find_life(lambda: socket.create_connection((host, int(port)), PROBE_SECONDS))
+
+
+def find_life(connect: Callable[[], ProbedConnection]) -> Life:
+    """Return whether the process that `connect` connects to is alive.
+
+    `connect` raises OSError, which is a ConnectionRefusedError if no process listens.
+    """
     for pause in PROBE_PAUSES_SECONDS:
         time.sleep(pause)
-        found = _probe(address)
+        found = _probe(connect)
         if found is not _Found.RESETS:
-            return found is _Found.REFUSES
-    return False
+            return LIFE_BY_FOUND[found]
+    return Life.ALIVE
 
 
-def _probe(address: str) -> _Found:
+def _probe(connect: Callable[[], ProbedConnection]) -> _Found:
     """Connect without sending anything, and check whether the connection stays open."""
-    host, _, port = address.rpartition(':')
     try:
-        with socket.create_connection((host, int(port)), PROBE_SECONDS) as connection:
-            connection.settimeout(CLOSING_SECONDS)
-            return _Found.QUIET if connection.recv(1) else _Found.RESETS
+        connection = connect()
     except ConnectionRefusedError:
         return _Found.REFUSES
+    except ConnectionResetError:
+        return _Found.RESETS
+    except OSError:
+        return _Found.SILENT
+    try:
+        connection.settimeout(CLOSING_SECONDS)
+        received = connection.recv_into(memoryview(bytearray(1)))
+        return _Found.QUIET if received else _Found.RESETS
     except TimeoutError:
         return _Found.QUIET
     except OSError:
         return _Found.RESETS
+    finally:
+        connection.close()
 
 
 def was_refused(error: BaseException) -> bool:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -64,14 +64,18 @@
     def test_a_stream_sets_the_socket_timeout_once_and_not_for_each_event(self):
         scripted = ScriptedSocket()
         ends = time.monotonic() + 8.0
-        answer = BackendAnswer(None, scripted, EventStream(30), ends, time.monotonic)
+        answer = BackendAnswer(
+            None, scripted, EventStream(30), ends, time.monotonic, lambda *_: None
+        )
         self.assertEqual(30, len([*answer.chunks()]))
         self.assertEqual(1, len(scripted.timeouts))
 
     def test_the_socket_timeout_follows_the_time_left(self):
         scripted = ScriptedSocket()
         now = time.monotonic()
-        answer = BackendAnswer(None, scripted, EventStream(1), now + 8.0, time.monotonic)
+        answer = BackendAnswer(
+            None, scripted, EventStream(1), now + 8.0, time.monotonic, lambda *_: None
+        )
         answer._read()
         answer._deadline = now + 4.0
         answer._read()
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -58,7 +58,7 @@
 
     def test_an_answer_is_not_read_beyond_its_deadline(self):
         clock = [0.0]
-        answer = BackendAnswer(None, Connection(), Events(), 8.0, lambda: clock[0])
+        answer = BackendAnswer(None, Connection(), Events(), 8.0, lambda: clock[0], lambda *_: None)
         events = answer.chunks()
         self.assertEqual(b'data: more\n\n', next(events))
         clock[0] = 9.0
