--- a/packages/peers/seamhold_peers/tunnel.py
+++ b/packages/peers/seamhold_peers/tunnel.py
@@ -3,14 +3,16 @@
 A tunnel is a gRPC stream in both directions.  The box names an engine; once the peer is connected
 to it and says so, the stream carries the bytes of that connection.  Nothing reaches the engine
 before, so a tunnel that does not open has sent nothing.
+
+The end of the stream is not the end of the connection: a stream also ends as the peer stops, fails
+or is killed.  The peer says in a message of its own that the engine closed the connection.
 """
 
 import asyncio
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager, AsyncExitStack
 
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import StreamTerminatedError
 from msgspec import Struct
 
 READ_BYTES = 64 * 1024
@@ -43,8 +45,17 @@
     engine_failed: bool = False
 
 
-#: A box sends one request and then data; the peer sends one reply and then data.
-TunnelMessage = TunnelRequest | TunnelReply | TunnelData
+class TunnelEnd(Struct, frozen=True, tag='end'):
+    """The end of the carried connection; `error` is '' if the engine closed it in order.
+
+    The kernel of an engine that was killed does so, too: the end says nothing of an answer.
+    """
+
+    error: str
+
+
+#: A box sends one request and then data; the peer sends one reply, then data and one end.
+TunnelMessage = TunnelRequest | TunnelReply | TunnelData | TunnelEnd
 
 
 class TunnelFailed(Exception):
@@ -71,12 +82,18 @@
         await self._stream.send_message(TunnelData(data))
 
     async def receive(self) -> bytes:
-        """Return bytes of the engine, b'' once it has closed the connection.
+        """Return bytes of the engine, b'' once it has closed the connection in order.
 
         Raises one of PEER_ERRORS if the tunnel, or the connection behind it, is broken.
         """
         message = await self._stream.recv_message()
-        return b'' if message is None else message.data
+        if isinstance(message, TunnelData) and message.data:
+            return message.data
+        if not isinstance(message, TunnelEnd):
+            raise ConnectionResetError('the peer did not say that the engine ended')
+        if message.error:
+            raise ConnectionResetError(message.error)
+        return b''
 
     async def close(self) -> None:
         """Close the tunnel, which closes the connection to the engine."""
@@ -109,16 +126,23 @@
 
 
 async def _carry(stream, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Pass bytes on in both directions until the engine or the box closes its end."""
+    """Pass bytes on in both directions until the connection to the engine ends."""
     sending = asyncio.create_task(_send_to_engine(stream, writer))
     try:
         await stream.send_message(TunnelReply())
+        await stream.send_message(await _send_to_box(stream, reader))
+    finally:
+        sending.cancel()
+
+
+async def _send_to_box(stream, reader: asyncio.StreamReader) -> TunnelEnd:
+    """Pass the engine's bytes on to the box; return how its connection ended."""
+    try:
         while data := await reader.read(READ_BYTES):
             await stream.send_message(TunnelData(data))
     except OSError as error:
-        raise GRPCError(Status.ABORTED, 'the connection to the engine broke') from error
-    finally:
-        sending.cancel()
+        return TunnelEnd(f'the connection to the engine broke: {error}')
+    return TunnelEnd('')
 
 
 async def _send_to_engine(stream, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -8,6 +8,7 @@
 
 from seamhold_peers import PeerClient, PeerServer, TunnelFailed, TunnelReply, TunnelRequest
 from seamhold_peers.client import PEER_ERRORS
+from seamhold_peers.tunnel import Tunnel, TunnelData, TunnelEnd
 
 HOST = '127.0.0.1'
 REQUEST = TunnelRequest('i-1', '')
@@ -113,3 +114,33 @@
                 await peer.closed.wait()
 
         self.run_with({}, scenario)
+
+
+class SentMessages:
+    """A stream that brings these messages, and then its end."""
+
+    def __init__(self, *messages):
+        self._messages = iter(messages)
+
+    async def recv_message(self):
+        return next(self._messages, None)
+
+
+class TestEndsOfTunnels(testtools.TestCase):
+    def assert_broken_after_data(self, *ends) -> None:
+        async def run() -> None:
+            tunnel = Tunnel(SentMessages(TunnelData(b'half'), *ends))
+            self.assertEqual(b'half', await tunnel.receive())
+            with testtools.ExpectedException(ConnectionResetError):
+                self.assertEqual('an error', await tunnel.receive())
+
+        asyncio.run(run())
+
+    def test_a_stream_that_just_ends_does_not_look_ended_by_the_engine(self):
+        self.assert_broken_after_data()
+
+    def test_a_connection_that_broke_behind_the_peer_does_not_look_ended(self):
+        self.assert_broken_after_data(TunnelEnd('reset'))
+
+    def test_data_without_bytes_does_not_look_like_the_end(self):
+        self.assert_broken_after_data(TunnelData(b''))
