--- a/packages/router/seamhold/forwarding/tunnel_socket.py
+++ b/packages/router/seamhold/forwarding/tunnel_socket.py
@@ -35,14 +35,16 @@
     # On the loop.
 
     async def _receive(self) -> None:
-        error = None
+        error: OSError | None = ConnectionAbortedError('the tunnel was closed')
         try:
             while data := await self._tunnel.receive():
                 self._put(data)
                 await self._room.wait()
+            error = None
         except PEER_ERRORS as broken:
             error = ConnectionResetError(f'the tunnel broke: {broken}')
-        self._end(error)
+        finally:
+            self._end(error)
 
     def _put(self, data: bytes) -> None:
         with self._changed:
@@ -75,8 +77,13 @@
         except PEER_ERRORS as error:
             raise ConnectionResetError(f'the tunnel broke: {error}') from error
 
+    def recv(self, max_bytes: int) -> bytes:
+        """Receive bytes; b'' at the end, raises OSError."""
+        buffer = bytearray(max_bytes)
+        return bytes(buffer[: self.recv_into(memoryview(buffer))])
+
     def recv_into(self, buffer: memoryview) -> int:
-        """Receive bytes into a buffer; 0 at the end, raises OSError."""
+        """Receive bytes into a buffer; 0 once the engine has ended, raises OSError."""
         with self._changed:
             if not self._changed.wait_for(lambda: self._received or self._ended, self._timeout):
                 raise TimeoutError('timed out')
@@ -97,8 +104,7 @@
         return file if buffering == 0 else io.BufferedReader(file)
 
     def shutdown(self, _how: int) -> None:
-        """Close the connection to the engine, and wake a thread that reads from it."""
-        self._end(None)
+        """Close the connection to the engine; whoever reads from it gets an error."""
         self._closed = True
         self._close_now()
 
@@ -116,11 +122,13 @@
 
     def _end(self, error: OSError | None) -> None:
         with self._changed:
-            if not self._ended:
-                self._ended, self._error = True, error
+            self._ended = True
+            # An error stands, also beside an end in order that came before or comes after it.
+            self._error = self._error or error
             self._changed.notify_all()
 
     def _close_now(self) -> None:
+        self._end(ConnectionAbortedError('the connection was closed by this box'))
         if not self._loop.is_closed():
             asyncio.run_coroutine_threadsafe(self._close_tunnel(), self._loop)
 
