--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -200,14 +200,17 @@
 class StreamCheck(Protocol):
     """Passes on whole events only, and tracks the state of a stream.
 
-    `foreign` is set if the stream carries events of another request.  `events` is the number of
-    events that were passed on since the stream began or was last taken up, and `first` the id of
-    the first of them, '' for none.
+    `error` is set if the stream must be broken off after what was returned last.  `events` is
+    the number of events with data that were passed on since the stream began or was last taken
+    up, and `first` the id of the first of them, '' for none.
     """
 
-    foreign: bool
+    error: SeamholdError | None
     events: int
-    first: str
+
+    @property
+    def first(self) -> str:
+        """The id of the first event since the stream began or was taken up, '' for none."""
 
     @property
     def position(self) -> str:
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -9,7 +9,6 @@
 from seamhold_attempts.retry import NOT_RUN, UNSENT, Outcome, may_retry
 from seamhold_messages.errors import (
     AnswerCut,
-    AnswerMismatch,
     AnswerTimeout,
     CallerLeft,
     DeadlinePassed,
@@ -412,11 +411,10 @@
     def _events(watch: StreamCheck, answer: OpenAnswer) -> Iterator[bytes]:
         for data in answer.chunks():
             ready = watch.feed(data)
-            if watch.foreign:
-                mismatch = AnswerMismatch('the stream carries events of another request')
-                raise AttemptFailed(Outcome.BROKEN, mismatch)
             if ready:
                 yield ready
+            if watch.error is not None:
+                raise AttemptFailed(Outcome.BROKEN, watch.error)
         if not watch.end():
             raise AttemptFailed(Outcome.BROKEN, AnswerCut('the stream ended early'))
 
--- a/packages/router/seamhold/streams.py
+++ b/packages/router/seamhold/streams.py
@@ -3,6 +3,8 @@
 Events are counted and matched by their bytes and not parsed.
 """
 
+from seamhold_messages.errors import AnswerMismatch, AnswerTooLarge, SeamholdError
+
 EVENT_END = b'\n\n'
 #: JSON contains no raw line break, so a text inside an event cannot imitate these.
 OBJECT_LINE = b'\ndata: {'
@@ -15,7 +17,7 @@
     """Passes on whole events only, and tracks the state of the stream.
 
     `total` counts the events with data that were passed on, which is the position from
-    which a stream is resumed.  `foreign` is set if events belong to another request.
+    which a stream is resumed.  `error` is set if the stream must be broken off.
     """
 
     def __init__(self, request_id: str):
@@ -25,7 +27,7 @@
         self.total = 0
         self.first = ''
         self.done = False
-        self.foreign = False
+        self.error: SeamholdError | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those that end with a whole event."""
@@ -33,14 +35,15 @@
         cut = data.rfind(EVENT_END)
         if cut < 0:
             self._pending = data
-            self.foreign = self.foreign or len(data) > PENDING_MAX_BYTES
+            if len(data) > PENDING_MAX_BYTES:
+                self.error = AnswerTooLarge(f'an event exceeds {PENDING_MAX_BYTES} bytes')
             return b''
         cut += len(EVENT_END)
         ready, self._pending = data[:cut], data[cut:]
         lines = b'\n' + ready
         objects = lines.count(OBJECT_LINE)
         if ready.count(self._id) < objects:
-            self.foreign = True
+            self.error = AnswerMismatch('the stream carries events of another request')
             return b''
         if objects and not self.first:
             self.first = str(self.total + 1)
@@ -65,4 +68,5 @@
     def restart(self) -> None:
         """Prepare to continue from another engine; drops a partial event."""
         self._pending = b''
+        self.error = None
         self._before, self.first = self.total, ''
--- /dev/null
+++ b/tests/test_event_order.py
@@ -0,0 +1,46 @@
+"""Events of a stream: where they end, and whether each is the next one."""
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from seamhold.forwarding.events import PENDING_MAX_BYTES, EventCheck
+
+LINE_ENDS = (b'\n', b'\r\n', b'\r')
+
+
+def event(number: int, end: bytes = b'\n') -> bytes:
+    """Return the bytes of one event whose lines end with `end`."""
+    return b': c%bid:%d%bdata: x%b%b' % (end, number, end, end, end)
+
+
+class TestEventEnds(testtools.TestCase):
+    @given(st.lists(st.sampled_from(LINE_ENDS), max_size=6), st.lists(st.integers(1, 9)))
+    def test_each_event_passes_unchanged_with_its_last_byte(self, ends, sizes):
+        check, sent, passed = EventCheck(), b'', b''
+        events = [event(number, end) for number, end in enumerate(ends, 1)]
+        stream, due = b''.join(events), 0
+        for size in [*sizes, *[1] * len(stream)]:
+            passed += check.feed(stream[len(sent) : len(sent) + size])
+            sent = stream[: len(sent) + size]
+            while due < len(events) and len(b''.join(events[: due + 1])) <= len(sent):
+                due += 1
+            # The blank line of CR LF is complete with its CR.
+            whole = b''.join(events[:due])
+            self.assertTrue(passed == whole or (passed == sent and sent.endswith(b'\r')))
+        self.assertEqual((stream, len(ends), True), (passed, check.events, check.end()))
+
+    def test_an_event_that_ends_with_cr_lf_waits_for_nothing(self):
+        check = EventCheck()
+        self.assertEqual(b'id: 1\r\ndata: x\r\n\r\n', check.feed(b'id: 1\r\ndata: x\r\n\r\n'))
+        self.assertEqual('1', check.position)
+
+    def test_the_last_id_line_of_an_event_counts(self):
+        check = EventCheck()
+        check.feed(b'seamhold-x: 7\nid: 3\ndata: x\nid:4\nids: 9\n\n')
+        self.assertEqual('4', check.position)
+
+    def test_an_event_above_the_limit_is_not_passed_on(self):
+        check = EventCheck()
+        self.assertEqual(event(1), check.feed(event(1) + b'data: ' + b'x' * PENDING_MAX_BYTES))
+        self.assertEqual('answer_too_large', check.error.code)
