--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -270,6 +270,14 @@
     ran = Ran.UNKNOWN
 
 
+class EventOutOfOrder(SeamholdError):
+    """An event of the stream is not above the one before it."""
+
+    code = 'event_out_of_order'
+    status = 502
+    ran = Ran.UNKNOWN
+
+
 class AnswerTooLarge(SeamholdError):
     """An answer that has to be read whole is larger than the box holds of one."""
 
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -44,3 +44,45 @@
         check = EventCheck()
         self.assertEqual(event(1), check.feed(event(1) + b'data: ' + b'x' * PENDING_MAX_BYTES))
         self.assertEqual('answer_too_large', check.error.code)
+
+
+def feed_all(check: EventCheck, *runs: str) -> bytes:
+    """Feed runs of ids until one is broken off; return the bytes that are passed on."""
+    passed = b''
+    for number, ids in enumerate(runs):
+        if number:
+            check.restart()
+        passed += check.feed(b''.join(b'id: %b\ndata\n\n' % one.encode() for one in ids.split()))
+    return passed
+
+
+class TestOrder(testtools.TestCase):
+    def assert_broken_off(self, check: EventCheck, code: str, *runs: str, passed: str) -> None:
+        self.assertEqual(feed_all(EventCheck(), passed), feed_all(check, *runs))
+        self.assertEqual(code, check.error.code)
+
+    def test_a_repeated_or_earlier_event_is_broken_off_after_those_before_it(self):
+        for ids in ('1 2 2 3', '1 2 1', '1 2 02', '1 2 0'):
+            self.assert_broken_off(EventCheck(), 'event_out_of_order', ids, passed='1 2')
+
+    def test_a_run_that_begins_anew_or_repeats_the_last_event_is_broken_off(self):
+        for again in ('1 2 3 4', '3 4'):
+            check = EventCheck()
+            self.assert_broken_off(check, 'event_out_of_order', '1 2 3', again, passed='1 2 3')
+            self.assertEqual(('3', ''), (check.position, check.first))
+
+    def test_a_stream_that_its_caller_takes_up_does_not_begin_anew(self):
+        self.assert_broken_off(EventCheck('3'), 'event_out_of_order', '1 2 3', passed='')
+
+    def test_ids_without_an_order_are_refused_only_where_a_run_begins_anew(self):
+        self.assertEqual(
+            feed_all(EventCheck(), 'b a a c b'), feed_all(EventCheck(), 'b a a', 'c b')
+        )
+        for again in ('a c', 'b a'):
+            self.assert_broken_off(EventCheck(), 'event_out_of_order', 'b a', again, passed='b a')
+
+    def test_ids_of_more_than_64_bits_are_not_compared_as_numbers(self):
+        huge = '9' * 30
+        check = EventCheck()
+        feed_all(check, f'{huge}1 {huge}0', f'{huge}5')
+        self.assertIsNone(check.error)
