--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -49,6 +49,7 @@
     LearnHoldings,
     ReceiveDigest,
     ReceiveHoldings,
+    RefuseWaiting,
     RetryCall,
     SetBoxes,
     SetEngines,
@@ -139,6 +140,7 @@
             GetDigests: self._get_digests,
             DigestsSent: self._digests_sent,
             BoxLeaving: self._box_leaving,
+            RefuseWaiting: lambda _: self._deliver(self._router.refuse_waiting(self._clock())),
             GetReport: self._get_report,
         }
         self.cases = CaseHandlers(router, clock, self.log, self._cases_changed)
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -257,6 +257,10 @@
     """Reports that this box is stopping."""
 
 
+class RefuseWaiting(Struct):
+    """Tells that calls which wait for a slot are to be refused, because this box is stopping."""
+
+
 class BoxReport(Struct, frozen=True):
     """The state of a peer as this box assumes it."""
 
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -22,7 +22,15 @@
 from ..config import BoxConfig
 from ..context import Environment
 from ..decider import Decider
-from ..decisions import GetReport, LiftCase, SetBoxes, SetEngines, SetEvacuations, UseSettings
+from ..decisions import (
+    GetReport,
+    LiftCase,
+    RefuseWaiting,
+    SetBoxes,
+    SetEngines,
+    SetEvacuations,
+    UseSettings,
+)
 from ..dialects import find_dialect
 from ..engine_uses import EngineUses
 from ..gate import Gate
@@ -352,6 +360,7 @@
         self.server.expire_idle()
         self.environment.sleep(closing)
         self.gate.close()
+        self.decider.send(RefuseWaiting())
         ends = self.environment.monotonic() + self.config.drain_limit
         while not self._is_done() and self.environment.monotonic() < ends:
             pass
--- a/packages/router/seamhold/serve.py
+++ b/packages/router/seamhold/serve.py
@@ -20,7 +20,7 @@
 from .config import BoxConfig
 from .context import Environment
 from .decider import Decider
-from .decisions import SetBoxes, SetEngines, UseSettings
+from .decisions import RefuseWaiting, SetBoxes, SetEngines, UseSettings
 from .engine_uses import EngineUses
 from .engines import EngineClient
 from .entry import SPARE_THREADS, Entry, entry_application
@@ -220,6 +220,7 @@
         # The load balancer needs time to notice that this box is not ready.
         self._wait_unless_cut(self.config.drain_grace, until_empty=False)
         self.gate.close()
+        self.decider.send(RefuseWaiting())
         self._wait_unless_cut(self.config.drain_limit, until_empty=True)
         cut = self.gate.active
         self._log.info('box.stopped', calls_cut=cut)
--- a/packages/routing/seamhold_routing/calls.py
+++ b/packages/routing/seamhold_routing/calls.py
@@ -15,6 +15,7 @@
     EnginesResting,
     FleetFull,
     NoEngine,
+    NotReady,
     SeamholdError,
 )
 from seamhold_messages.fleet import Phase
@@ -47,6 +48,7 @@
 #: Callers refused while all engines rest return within this time of the first rest's end, in
 #: seconds, urgent ones first: together they would overload that engine again.
 RETURN_SPREAD_SECONDS = 0.3
+STOPPING_DETAIL = 'this box is stopping; retry at another box'
 #: Interval between checks of the calls that wait for any slot.  They are also checked each
 #: time a call ends or a peer reports its load.
 QUEUE_CHECK_SECONDS = 0.05
@@ -88,6 +90,8 @@
         self._services: dict[str, ServiceRouter] = {}
         self._active: dict[str, _ActiveCall] = {}
         self._backlogs = Backlogs(state.backlogs, state.counts)
+        #: Whether calls that cannot be placed at once are refused, because the box is stopping.
+        self._refuses_waiting = False
 
     def __len__(self) -> int:
         """Return the number of calls that are placed or wait."""
@@ -203,10 +207,7 @@
         left = self._state.engines.rest_left(call.service, now)
         if left is None:
             return NoEngine(detail, NO_ENGINE_RETRY_SECONDS)
-        place = (call.priority + hash32(call.id) / HASH32_SPAN) / len(Priority)
-        return EnginesResting(
-            'all engines of this service rest', left + RETURN_SPREAD_SECONDS * place
-        )
+        return EnginesResting('all engines of this service rest', left + _return_spread(call))
 
     @staticmethod
     def _no_version(call: Call) -> SeamholdError:
@@ -254,6 +255,8 @@
         self, service: ServiceRouter, call: Call, now: float, exempt_until: float = -math.inf
     ) -> list[Decision]:
         """Let a call wait for any slot; until `exempt_until` no prediction rejects it."""
+        if self._refuses_waiting:
+            return [self._refuse_stopping(call)]
         if call.version is not None:
             return self._wait_for_version(service, call)
         service.queue.late_last = service.learns_concurrency
@@ -427,6 +430,29 @@
 
     # All waiting calls.
 
+    def refuse_waiting(self, now: float) -> list[Decision]:
+        """Refuse the calls that wait for a slot, and from now on those that would have to wait.
+
+        Calls that wait for the engine that holds their cache go on within their patience.
+        """
+        self._refuses_waiting = True
+        refused: list[Decision] = []
+        for service in self._services.values():
+            for call in service.queue.peek(now):
+                service.queue.remove(call.id, cancelled_at=now)
+                refused.append(self._refuse_stopping(call))
+            waiting, service.waiting_for_version = service.waiting_for_version, []
+            refused += [
+                self._refuse_stopping(self._active[call_id].call)
+                for call_id in waiting
+                if call_id in self._active
+            ]
+        return self._count(refused)
+
+    def _refuse_stopping(self, call: Call) -> Refused:
+        self._forget(call.id)
+        return Refused(call.id, NotReady.code, STOPPING_DETAIL, _return_spread(call))
+
     def drain(self, now: float) -> list[Decision]:
         """Place the waiting calls that can be placed, and refuse those past their deadline."""
         decisions: list[Decision] = []
@@ -520,3 +546,9 @@
                 if decision.predicted is not None:
                     self._state.counts['placed.predicted'] += 1
         return decisions
+
+
+def _return_spread(call: Call) -> float:
+    """Return how many seconds later than the first, an urgent one, a refused caller returns."""
+    place = (call.priority + hash32(call.id) / HASH32_SPAN) / len(Priority)
+    return RETURN_SPREAD_SECONDS * place
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -284,6 +284,10 @@
         """Allow further attempts of the call only at engines of one software version."""
         self._calls.bind_version(call_id, version)
 
+    def refuse_waiting(self, now: float) -> list[Decision]:
+        """Refuse the calls that wait for a slot, and from now on those that would have to wait."""
+        return self._calls.refuse_waiting(now)
+
     def close(self, call_id: str, now: float) -> list[Decision]:
         """End a call: it is over, or its caller left while it waited."""
         return self._calls.close(call_id, now)
