--- a/packages/router/seamhold/callers.py
+++ b/packages/router/seamhold/callers.py
@@ -16,7 +16,7 @@
     UnknownModel,
     UnknownService,
 )
-from seamhold_messages.work import Call, Priority, Work
+from seamhold_messages.work import PRIORITIES, Call, Priority, Work
 from seamhold_settings import ResolvedRoute, ServiceKind, Tree, resolve
 from seamhold_settings.forwarding import workspace_priority
 from seamhold_settings.resolve import service_of_model
@@ -172,7 +172,7 @@
         f'{incoming.workspace}\0{route.service}\0{chat}',
         work,
         now + _timeout(incoming, route.policy.deadline),
-        Priority(route.policy.priority),
+        Priority(min(route.policy.priority, PRIORITIES - 1)),
         _hint(incoming),
         workspace_priority=workspace_priority(tree, incoming.workspace),
     )
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -290,6 +290,7 @@
             'box': self.config.box,
             'ready': self._is_ready(),
             'settings': self.settings_task.snapshot.total,
+            'settings_left_out': list(self.settings_task.snapshot.left_out),
             'in_flight': report.in_flight,
             'live_boxes': list(report.live_boxes),
             'engines': [to_builtins(engine) for engine in report.engines],
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -13,7 +13,7 @@
 
 from seamhold_platform import ObjectKind, PlatformObject, WatchKind
 from seamhold_settings import Candidate, OfferResult
-from seamhold_settings.tree import TREE_OBJECT, without_invalid_routes
+from seamhold_settings.tree import TREE_OBJECT
 
 from ..clock import boot_seconds
 from ..decider import Decider
@@ -183,9 +183,6 @@
             self.log.warning('settings.unreadable', version=item.version, detail=detail)
             return
         values['fleet'] = self._defaults | values.get('fleet', {})
-        values, problems = without_invalid_routes(values)
-        for problem in problems:
-            self.log.warning('settings.route_left_out', version=item.version, detail=problem)
         candidate = Candidate(TREE_OBJECT, revision, item.version, values)
         (result,) = self._settings_task.query(OfferSettings([candidate], 'platform')).result(
             OFFER_SECONDS
--- a/packages/router/seamhold/settings_task.py
+++ b/packages/router/seamhold/settings_task.py
@@ -17,15 +17,21 @@
 
 #: Maximum wait for the reply to an offer, in seconds.
 OFFER_SECONDS = 5.0
+#: Invalid items of a tree that are logged each time it changes.
+LOGGED_PROBLEMS_MAX = 20
 
 
 class SettingsSnapshot(Struct, frozen=True):
-    """The settings in force, and the values by which peers compare them."""
+    """The settings in force, and the values by which peers compare them.
+
+    `left_out` has a problem for each invalid item of a complete tree.
+    """
 
     tree: Tree
     total: int
     fingerprint: int
     ready: bool
+    left_out: tuple[str, ...] = ()
 
 
 class OfferSettings(Query):
@@ -78,7 +84,9 @@
 
     def _make_snapshot(self) -> SettingsSnapshot:
         state = self._state
-        return SettingsSnapshot(state.tree, state.revision_sum(), state.fingerprint(), state.ready)
+        return SettingsSnapshot(
+            state.tree, state.revision_sum(), state.fingerprint(), state.ready, state.left_out
+        )
 
     def _offer(self, message: OfferSettings) -> list[OfferResult]:
         results = [self._state.offer(candidate) for candidate in message.candidates]
@@ -86,11 +94,18 @@
             self._log_result(candidate, result, message.source)
         if OfferResult.TAKEN in results:
             self.snapshot = self._make_snapshot()
+            self._report_left_out()
             self._on_change(self.snapshot.tree)
             if self.snapshot.ready:
                 self.ready.set()
         return results
 
+    def _report_left_out(self) -> None:
+        left_out = self.snapshot.left_out
+        self._metrics.gauge('settings_items_left_out', len(left_out))
+        for problem in left_out[:LOGGED_PROBLEMS_MAX]:
+            self.log.warning('settings.item_left_out', detail=problem)
+
     def _log_result(self, candidate: Candidate, result: OfferResult, source: str) -> None:
         if result is OfferResult.SAME:
             return
--- a/packages/settings/seamhold_settings/checking.py
+++ b/packages/settings/seamhold_settings/checking.py
@@ -12,6 +12,8 @@
 ROOT_LABEL = '(top)'
 #: Limit on the characters of an invalid value shown in an error message.
 VALUE_MAX_CHARS = 80
+#: What msgspec raises for values that have no place in a type, such as half of a surrogate pair.
+INVALID_ERRORS = (msgspec.ValidationError, UnicodeError, OverflowError)
 
 SpecT = TypeVar('SpecT', bound=Struct)
 
@@ -20,7 +22,7 @@
     """Convert `values` to `kind`; raises SettingsInvalid that lists all errors."""
     try:
         return msgspec.convert(values, kind)
-    except msgspec.ValidationError as error:
+    except INVALID_ERRORS as error:
         raise SettingsInvalid('\n'.join(problems(kind, values))) from error
 
 
@@ -34,12 +36,12 @@
         return found
     try:
         msgspec.convert(values, kind)
-    except msgspec.ValidationError as error:
+    except INVALID_ERRORS as error:
         return [_line(path, error, values)]
     return []
 
 
-def _line(path: str, error: msgspec.ValidationError, value: object) -> str:
+def _line(path: str, error: Exception, value: object) -> str:
     rule = str(error).partition(' - at ')[0]
     return f'{path or ROOT_LABEL}: {rule} (got {value!r:.{VALUE_MAX_CHARS}})'
 
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -17,6 +17,9 @@
 KeyHash = Annotated[str, Meta(pattern=r'^sha256:[0-9a-f]{64}\Z')]
 RouteName = Annotated[str, Meta(pattern=r'^[A-Za-z0-9/_.-]{1,128}\Z')]
 
+#: Limit on numbers that have no other one.
+INTEGER_MAX = 2**31 - 1
+
 
 class Strict(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Base class of all levels: immutable, and unknown keys are errors."""
@@ -39,7 +42,8 @@
 class Policy(Strict):
     """How calls are handled; None means inherited from the level above.
 
-    Times are in seconds, sizes in bytes; `priority` 0 goes first.
+    Times are in seconds, sizes in bytes; `priority` 0 goes first, and those beyond the last one
+    that is distinguished go with it.
     `objective` is the target time to the first byte, `pause` the target for the
     longest gap within a stream; a `resumable` stream may be continued by another
     backend server.
@@ -47,11 +51,11 @@
 
     repeatable: bool | None = None
     deadline: Annotated[float, Meta(gt=0, le=3600)] | None = None
-    priority: Annotated[int, Meta(ge=0, le=9)] | None = None
+    priority: Annotated[int, Meta(ge=0, le=INTEGER_MAX)] | None = None
     objective: Annotated[float, Meta(gt=0, le=3600)] | None = None
     pause: Annotated[float, Meta(gt=0, le=3600)] | None = None
     resumable: bool | None = None
-    retries: Annotated[int, Meta(ge=0, le=5)] | None = None
+    retries: Annotated[int, Meta(ge=0, le=INTEGER_MAX)] | None = None
     max_body_bytes: Annotated[int, Meta(ge=1, le=64 * 1024 * 1024)] | None = None
     expected_output_tokens: Annotated[int, Meta(ge=1, le=1_000_000)] | None = None
     queue_calls: Annotated[int, Meta(ge=0, le=10_000)] | None = None
--- a/packages/settings/seamhold_settings/tree.py
+++ b/packages/settings/seamhold_settings/tree.py
@@ -13,7 +13,7 @@
 
 from .checking import check
 from .resolve import SettingsObject, Tree
-from .schema import FleetSpec, ForwardedRoute, Strict, WorkspaceSpec
+from .schema import FleetSpec, Strict, WorkspaceSpec
 
 FLEET_OBJECT = 'fleet'
 #: A complete tree stored as one object, used where operators write it as one.
@@ -77,25 +77,6 @@
     return tuple(objects)
 
 
-def without_invalid_routes(values: dict) -> tuple[dict, list[str]]:
-    """Return a tree's values without invalid forwarded routes, and one problem for each.
-
-    One invalid route must not prevent the others from becoming active; a problem
-    names the route that was left out and the error.
-    """
-    fleet = dict(values.get('fleet') or {})
-    valid_routes, problems = [], []
-    for number, route in enumerate(fleet.get('forwarding') or []):
-        try:
-            check(ForwardedRoute, route)
-        except SettingsInvalid as error:
-            problems.append(f'fleet.forwarding.{number}: {error.detail}')
-        else:
-            valid_routes.append(route)
-    fleet['forwarding'] = valid_routes
-    return values | {'fleet': fleet}, problems
-
-
 def check_object(name: str, spec: object) -> FleetSpec | WorkspaceSpec | SettingsFile:
     """Validate an object's spec as the type given by its name; raises SettingsInvalid."""
     if name == TREE_OBJECT:
--- a/packages/settings/seamhold_settings/versions.py
+++ b/packages/settings/seamhold_settings/versions.py
@@ -15,6 +15,7 @@
 from .resolve import Tree
 from .schema import FleetSpec, WorkspaceSpec
 from .tree import FLEET_OBJECT, TREE_OBJECT, SettingsFile, build_tree, check_object
+from .valid_items import valid_items
 
 
 class Candidate(Struct, frozen=True):
@@ -48,11 +49,13 @@
     `offer` is the only way to change them.  An invalid candidate never becomes active:
     the last valid version stays, and `rejected` holds the error.  Each object is
     validated on its own, so that the order in which updates arrive does not matter;
-    references between objects are checked before operators may write.
+    references between objects are checked before operators may write.  Of a complete tree the
+    invalid items are left out, and `left_out` has a problem for each.
     """
 
     objects: dict[str, Candidate] = field(default_factory=dict)
     rejected: dict[str, str] = field(default_factory=dict)
+    left_out: tuple[str, ...] = ()
     tree: Tree = field(default_factory=Tree)
     _specs: dict[str, FleetSpec | WorkspaceSpec | SettingsFile] = field(default_factory=dict)
 
@@ -84,10 +87,16 @@
 
     def _activate(self, candidate: Candidate) -> None:
         specs = dict(self._specs)
+        left_out = self.left_out
         if candidate.deleted:
             specs.pop(candidate.name, None)
         else:
-            specs[candidate.name] = check_object(candidate.name, candidate.spec)
+            spec = candidate.spec
+            if candidate.name == TREE_OBJECT:
+                valid = valid_items(spec)
+                spec, left_out = valid.values, valid.problems
+            specs[candidate.name] = check_object(candidate.name, spec)
+        self.left_out = left_out
         self._specs = specs
         self.tree = build_tree(specs)
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -19,7 +19,7 @@
 from seamhold_settings.checking import check
 from seamhold_settings.forwarding import RouteTable, choose_service
 from seamhold_settings.schema import ServiceShare
-from seamhold_settings.tree import TREE_OBJECT, SettingsFile, without_invalid_routes
+from seamhold_settings.tree import TREE_OBJECT, SettingsFile
 
 KEY = 'sha256:' + '0' * 64
 OTHER_KEY = 'sha256:' + '1' * 64
@@ -105,11 +105,10 @@
 class TestWholeTree(testtools.TestCase):
     def test_an_unreadable_route_is_left_out_and_the_others_are_active(self):
         values = tree_values(route('a', '/'), route('a', 'no-slash'), {'host': 'a'})
-        values, problems = without_invalid_routes(values)
-        self.assertEqual(2, len(problems))
         state = ActiveSettings()
         self.assertEqual(OfferResult.TAKEN, state.offer(Candidate(TREE_OBJECT, 7, '7', values)))
         self.assertEqual(1, len(state.tree.fleet.forwarding))
+        self.assertEqual(2, len(state.left_out))
         self.assertTrue(state.ready)
 
     def test_an_older_tree_does_not_replace_a_newer_one(self):
