--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -407,6 +407,8 @@
     def abort(self) -> None:
         """Close the connection without ending the answer, which the caller sees as cut."""
         request = self.request
+        # Without chunks a close in order is the end of the answer.
+        request.conn.resets = self.sent and not request.chunked_write
         request.close_connection = True
         request.sent_headers = True
         request.chunked_write = False
@@ -480,6 +482,8 @@
         super().__init__(server, sock, *makefile)
         #: The answer that goes on when its caller has read some of it; None if there is none.
         self.paused: _Exchange | None = None
+        #: Whether the connection is reset when it is closed.
+        self.resets = False
         self._writer: ResponseWriter | None = None
         if server.buffers is not None:
             self._writer = ResponseWriter(server.buffers, sock, self._close_now)
@@ -522,10 +526,16 @@
         self.when_sent(self._close_now)
 
     def _close_now(self) -> None:
-        if self._writer is not None and self._writer.dropped:
+        self.resets = self.resets or (self._writer is not None and bool(self._writer.dropped))
+        if self.resets:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         super().close()
 
+    def _close_kernel_socket(self):
+        """Shut the connection down, unless that would end it in order before it is reset."""
+        if not self.resets:
+            super()._close_kernel_socket()
+
 
 class ForwardingServer(HTTPServer):
     """cheroot's server that answers with a ForwardingEntry."""
