--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -1,7 +1,7 @@
 """Sends one attempt to an engine over urllib3, and classifies how it ended."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import urllib3
 
@@ -17,16 +17,19 @@
 from seamhold_messages.work import Placed
 from seamhold_platform import bounded_pools
 
+from .answer_ends import confirm_end
 from .clock import boot_seconds
-from .framing import framing_of
+from .framing import Framing, framing_of
 from .ports import AttemptFailed, Cancellation, EngineLoad, EngineRequest, whole_body
-from .probing import refuses_connections, was_refused
+from .probing import life_at, refuses_connections, was_refused
 from .streams import EventStreamCheck
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 RAN_HEADER = 'X-Ran'
 REASON_HEADER = 'X-Reason'
 RESUME_HEADER = 'X-Resume-Offset'
+#: Streams of this type end with an event, which their check demands.
+STREAM_TYPE = 'text/event-stream'
 LEAVING_REASON = 'leaving'
 FULL_REASON = 'busy'
 CONNECT_SECONDS = 1.0
@@ -40,8 +43,10 @@
 class EngineAnswer:
     """An answer that has begun: status, headers and the rest of the body."""
 
-    def __init__(self, response: urllib3.BaseHTTPResponse):
+    def __init__(self, response: urllib3.BaseHTTPResponse, confirm: Callable[[Framing], None]):
         self._response = response
+        #: Called at the end of a body without an end mark of its own; raises AttemptFailed.
+        self._confirm = confirm
         self.status = response.status
         self.headers = response.headers
         #: These servers do not report their load.
@@ -64,6 +69,8 @@
             raise AttemptFailed(
                 Outcome.BROKEN, AnswerCut(f'the answer was cut: {error}')
             ) from error
+        if not self.headers.get('Content-Type', '').startswith(STREAM_TYPE):
+            self._confirm(self.framing)
 
     def whole(self, max_bytes: int) -> bytes:
         """Return the complete body; raises AttemptFailed if it is cut or longer than this."""
@@ -97,7 +104,11 @@
         return EventStreamCheck(request.request_id)
 
     def open(
-        self, placed: Placed, request: EngineRequest, remaining: float, _: Cancellation
+        self,
+        placed: Placed,
+        request: EngineRequest,
+        remaining: float,
+        cancellation: Cancellation,
     ) -> EngineAnswer:
         """Send the request and return when the head of the answer has arrived.
 
@@ -121,7 +132,11 @@
         except urllib3.exceptions.HTTPError as error:
             raise self._connection_failure(error) from error
         self._set_stall_timeout(response, remaining)
-        return self._check_answer(response, request)
+
+        def confirm(framing: Framing) -> None:
+            confirm_end(framing, cancellation, lambda: life_at(placed.address))
+
+        return self._check_answer(EngineAnswer(response, confirm), request)
 
     @staticmethod
     def _connection_failure(error: Exception) -> AttemptFailed:
@@ -141,8 +156,7 @@
         if connection is not None and connection.sock is not None:
             connection.sock.settimeout(min(STALL_SECONDS, remaining))
 
-    def _check_answer(self, response, request: EngineRequest) -> EngineAnswer:
-        answer = EngineAnswer(response)
+    def _check_answer(self, answer: EngineAnswer, request: EngineRequest) -> EngineAnswer:
         failed = self._answer_failure(answer, request)
         if failed is not None:
             answer.close()
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,12 +1,34 @@
 """Whether the end of an answer's bytes is taken for the end of the answer."""
 
+import subprocess
+import sys
+
 import testtools
 
 from seamhold.answer_ends import confirm_end
+from seamhold.engines import REQUEST_ID_HEADER, EngineClient
 from seamhold.framing import Framing
-from seamhold.ports import AttemptFailed, Cancellation
+from seamhold.ports import AttemptFailed, Cancellation, EngineRequest
 from seamhold.probing import Life, find_life
 from seamhold_messages.errors import AnswerEndUnproven
+from seamhold_messages.work import Placed
+
+BODY_MAX_BYTES = 1024
+ASKED = EngineRequest('asked', 'GET', '/', {}, b'')
+#: An engine, as a process, that sends a body without length or chunks and then does `sys.argv[1]`.
+ENGINE = f"""
+import os, signal, socket, sys
+listener = socket.create_server(('127.0.0.1', 0))
+print(listener.getsockname()[1], flush=True)
+connection = listener.accept()[0]
+connection.recv(65536)
+connection.sendall(b'HTTP/1.1 200 OK\\r\\n{REQUEST_ID_HEADER}: asked\\r\\n\\r\\nbody')
+if sys.argv[1] == 'die':
+    os.kill(os.getpid(), signal.SIGKILL)
+connection.close()
+kept = listener.accept()
+sys.stdin.read()
+"""
 
 
 class TestConfirmEnd(testtools.TestCase):
@@ -36,3 +58,21 @@
             raise TimeoutError
 
         self.assertIs(Life.UNKNOWN, find_life(connect))
+
+
+class TestEngines(testtools.TestCase):
+    def read(self, then: str) -> bytes:
+        command = [sys.executable, '-c', ENGINE, then]
+        engine = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        self.addCleanup(engine.communicate)
+        self.addCleanup(engine.kill)
+        address = f'127.0.0.1:{int(engine.stdout.readline())}'
+        placed = Placed('asked', 'e1', address, rank=0, spilled=False)
+        return EngineClient().open(placed, ASKED, 3.0, Cancellation()).whole(BODY_MAX_BYTES)
+
+    def test_a_plain_body_that_ends_with_its_connection_is_whole(self):
+        self.assertEqual(b'body', self.read('close'))
+
+    def test_a_plain_body_of_a_killed_engine_is_not_whole(self):
+        failed = self.assertRaises(AttemptFailed, self.read, 'die')
+        self.assertIsInstance(failed.error, AnswerEndUnproven)
