--- a/packages/platform/seamhold_platform/__init__.py
+++ b/packages/platform/seamhold_platform/__init__.py
@@ -1,6 +1,6 @@
 """Client of the platform's object API."""
 
-from .bounded_socket import AnswerTooLong, BoundedSocket, bounded_pools
+from .bounded_socket import AnswerTooLong, BoundedSocket, WholeHeadResponse, bounded_pools
 from .client import PlatformClient
 from .json_parts import JsonUnreadable
 from .objects import ObjectKind, Page, PlatformObject, WatchEvent, WatchKind
@@ -17,5 +17,6 @@
     'PlatformObject',
     'WatchEvent',
     'WatchKind',
+    'WholeHeadResponse',
     'bounded_pools',
 ]
--- a/packages/platform/seamhold_platform/bounded_socket.py
+++ b/packages/platform/seamhold_platform/bounded_socket.py
@@ -7,6 +7,7 @@
 import io
 import math
 from collections.abc import Callable
+from http.client import HTTPResponse, IncompleteRead
 from typing import Any
 
 import urllib3
@@ -79,6 +80,8 @@
     def __init__(self, raw: io.RawIOBase, bounds: BoundedSocket):
         self._raw = raw
         self._bounds = bounds
+        #: Whether the peer has ended the connection.
+        self.ended = False
 
     def readable(self) -> bool:
         """Tell the buffered reader that this file can be read."""
@@ -88,6 +91,7 @@
         """Read into a buffer; raises OSError or AnswerTooLong."""
         self._bounds.before_read()
         received = self._raw.readinto(buffer)
+        self.ended = received == 0
         self._bounds.count(received or 0)
         return received
 
@@ -98,12 +102,28 @@
             self._raw.close()
 
 
+class WholeHeadResponse(HTTPResponse):
+    """A response on a BoundedSocket that fails if its connection ends within its head.
+
+    The base class takes that end for the blank line that ends the head.
+    """
+
+    def begin(self) -> None:
+        """Read the head; raises IncompleteRead if it is cut."""
+        super().begin()
+        raw: Any = self.fp.raw
+        if raw.ended:
+            raise IncompleteRead(b'')
+
+
 def bounded_pools(
     clock: Callable[[], float], max_bytes: float, **options: Any
 ) -> urllib3.PoolManager:
     """Return connection pools that read each answer within its timeout and `max_bytes`."""
 
     class Connection(HTTPConnection):
+        response_class = WholeHeadResponse
+
         def connect(self) -> None:
             super().connect()
             self.bounds = BoundedSocket(self.sock, clock)
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -24,7 +24,7 @@
     EngineUnreachable,
 )
 from seamhold_messages.work import Placed
-from seamhold_platform import BoundedSocket
+from seamhold_platform import BoundedSocket, WholeHeadResponse
 
 from ..answer_ends import confirm_end
 from ..clock import boot_seconds
@@ -253,6 +253,7 @@
         connection.timeout = remaining
         bounded = BoundedSocket(connection.sock, self._clock)
         connection.sock = bounded
+        connection.response_class = WholeHeadResponse
         bounded.settimeout(remaining)
         bounded.limit(deadline, HEAD_MAX_BYTES)
         metadata = AttemptMetadata(
