--- a/packages/peers/seamhold_peers/tunnel.py
+++ b/packages/peers/seamhold_peers/tunnel.py
@@ -15,9 +15,11 @@
 from grpclib.exceptions import StreamTerminatedError
 from msgspec import Struct
 
+from .engine_connection import EngineReader
+
 READ_BYTES = 64 * 1024
 
-Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Connection = tuple[EngineReader, asyncio.StreamWriter]
 
 
 class TunnelRequest(Struct, frozen=True, tag='open'):
@@ -125,7 +127,7 @@
         await stream.send_message(failure.reply)
 
 
-async def _carry(stream, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def _carry(stream, reader: EngineReader, writer: asyncio.StreamWriter) -> None:
     """Pass bytes on in both directions until the connection to the engine ends."""
     sending = asyncio.create_task(_send_to_engine(stream, writer))
     try:
@@ -135,7 +137,7 @@
         sending.cancel()
 
 
-async def _send_to_box(stream, reader: asyncio.StreamReader) -> TunnelEnd:
+async def _send_to_box(stream, reader: EngineReader) -> TunnelEnd:
     """Pass the engine's bytes on to the box; return how its connection ended."""
     try:
         while data := await reader.read(READ_BYTES):
@@ -154,4 +156,5 @@
     except (OSError, StreamTerminatedError):
         # The other direction meets the error, too, and reports it.
         return
+    # The reader takes this for an error, unless the engine has ended before.
     writer.close()
--- a/packages/router/seamhold/forwarding/carrier.py
+++ b/packages/router/seamhold/forwarding/carrier.py
@@ -6,6 +6,7 @@
 
 from seamhold_messages.errors import SeamholdError
 from seamhold_peers import TunnelFailed, TunnelReply, TunnelRequest
+from seamhold_peers.engine_connection import connect_to_engine
 from seamhold_peers.tunnel import Connection
 
 from ..gate import Gate
@@ -51,7 +52,7 @@
         host, _, port = engine.address.rpartition(':')
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await connect_to_engine(host, int(port))
         except OSError as error:
             self._access.record_unreachable(engine.name)
             refused = isinstance(error, ConnectionRefusedError)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -8,6 +8,7 @@
 
 from seamhold_peers import PeerClient, PeerServer, TunnelFailed, TunnelReply, TunnelRequest
 from seamhold_peers.client import PEER_ERRORS
+from seamhold_peers.engine_connection import EngineReader
 from seamhold_peers.tunnel import Tunnel, TunnelData, TunnelEnd
 
 HOST = '127.0.0.1'
@@ -28,7 +29,7 @@
     async def carry(self, request: TunnelRequest):
         if self.refuses:
             raise TunnelFailed(TunnelReply(self.refuses))
-        reader = asyncio.StreamReader()
+        reader = EngineReader()
         for part in self._parts:
             reader.feed_data(part)
         if self._error is not None:
