--- a/tests/test_tunnel_sockets.py
+++ b/tests/test_tunnel_sockets.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import threading
+from typing import Any
 
 import testtools
 
@@ -45,8 +46,10 @@
         asyncio.run_coroutine_threadsafe(end(), self.loop).result(READ_SECONDS)
 
     def open(self, *parts: bytes) -> TunnelSocket:
+        tunnel: Any = FakeTunnel(*parts)
+
         async def create() -> TunnelSocket:
-            return TunnelSocket(FakeTunnel(*parts), 'box-1')
+            return TunnelSocket(tunnel, 'box-1')
 
         opened = asyncio.run_coroutine_threadsafe(create(), self.loop).result()
         opened.settimeout(READ_SECONDS)
