--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -278,6 +278,14 @@
     ran = Ran.UNKNOWN
 
 
+class EventsMissing(SeamholdError):
+    """The ids of the stream's events leave some out."""
+
+    code = 'events_missing'
+    status = 502
+    ran = Ran.UNKNOWN
+
+
 class AnswerTooLarge(SeamholdError):
     """An answer that has to be read whole is larger than the box holds of one."""
 
--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -92,7 +92,7 @@
             retries=False,
         )
 
-    def stream_check(self, request: EngineRequest) -> EventStreamCheck:
+    def stream_check(self, request: EngineRequest, _service: str) -> EventStreamCheck:
         """Return a check for a stream that answers `request`."""
         return EventStreamCheck(request.request_id)
 
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -13,6 +13,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from seamhold_attempts.event_steps import EventSteps
 from seamhold_attempts.retry import Outcome
 from seamhold_messages.errors import (
     AnswerCut,
@@ -163,10 +164,11 @@
         self._clock = clock
         self._access = access
         self._tunnels = tunnels
+        self._steps = EventSteps()
 
-    def stream_check(self, request: EngineRequest) -> EventCheck:
+    def stream_check(self, request: EngineRequest, service: str) -> EventCheck:
         """Return the check for the event stream that answers `request`."""
-        return EventCheck(request.resume_after)
+        return EventCheck(request.resume_after, service, self._steps)
 
     def open(
         self,
--- a/packages/router/seamhold/forwarding/events.py
+++ b/packages/router/seamhold/forwarding/events.py
@@ -2,7 +2,8 @@
 
 from seamhold_attempts.event_format import EventReader
 from seamhold_attempts.event_order import EventOrder
-from seamhold_messages.errors import AnswerTooLarge, EventOutOfOrder, SeamholdError
+from seamhold_attempts.event_steps import EventSteps
+from seamhold_messages.errors import AnswerTooLarge, EventOutOfOrder, EventsMissing, SeamholdError
 
 #: An event larger than this is not passed on.
 PENDING_MAX_BYTES = 1024 * 1024
@@ -11,11 +12,11 @@
 class EventCheck:
     """Passes on only whole events, each only if it is the next one of the call."""
 
-    def __init__(self, resume_after: str = ''):
+    def __init__(self, resume_after: str = '', service: str = '', steps: EventSteps | None = None):
         self.error: SeamholdError | None = None
         self.events = 0
         self._reader = EventReader()
-        self._order = EventOrder(resume_after)
+        self._order = EventOrder(resume_after, service, steps or EventSteps())
 
     @property
     def position(self) -> str:
@@ -33,7 +34,7 @@
         for event in self._reader.feed(data):
             try:
                 self._order.accept(event)
-            except EventOutOfOrder as error:
+            except (EventOutOfOrder, EventsMissing) as error:
                 self.error = error
                 break
             self.events += event.has_data
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -241,8 +241,8 @@
         `remaining` is in seconds.  Raises AttemptFailed.
         """
 
-    def stream_check(self, request: EngineRequest) -> StreamCheck:
-        """Return a check for a stream that answers `request`."""
+    def stream_check(self, request: EngineRequest, service: str, /) -> StreamCheck:
+        """Return a check for a stream of `service` that answers `request`."""
 
     def has_ended(self, placed: Placed) -> bool:
         """Whether the server's process has ended, judged by a connection attempt."""
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -356,7 +356,7 @@
         The finally clause also runs when the caller disconnects: it cancels the call at
         the engine.
         """
-        watch = self._engines.stream_check(job.request)
+        watch = self._engines.stream_check(job.request, job.call.service)
         outcome = Outcome.CANCELLED
         try:
             while True:
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from seamhold.forwarding.events import PENDING_MAX_BYTES, EventCheck
+from seamhold_attempts.event_steps import AGREEING_STREAMS, SERVICES_MAX, EventSteps
 
 LINE_ENDS = (b'\n', b'\r\n', b'\r')
 
@@ -46,21 +47,34 @@
         self.assertEqual('answer_too_large', check.error.code)
 
 
-def feed_all(check: EventCheck, *runs: str) -> bytes:
-    """Feed runs of ids until one is broken off; return the bytes that are passed on."""
-    passed = b''
-    for number, ids in enumerate(runs):
-        if number:
-            check.restart()
-        passed += check.feed(b''.join(b'id: %b\ndata\n\n' % one.encode() for one in ids.split()))
-    return passed
+def events_of(ids: str) -> bytes:
+    """Return the bytes of events with these ids; `-` is data without an id."""
+    return b''.join(
+        b'data\n\n' if one == '-' else b'id: %b\ndata\n\n' % one.encode() for one in ids.split()
+    )
+
 
+class OrderTestCase(testtools.TestCase):
+    """Feeds a check with the events of several answers to one call."""
 
-class TestOrder(testtools.TestCase):
-    def assert_broken_off(self, check: EventCheck, code: str, *runs: str, passed: str) -> None:
-        self.assertEqual(feed_all(EventCheck(), passed), feed_all(check, *runs))
+    def feed_all(self, check: EventCheck, *answers: str) -> bytes:
+        """Feed the answers, with takings-up between them; return what is passed on."""
+        passed = check.feed(events_of(answers[0]))
+        for ids in answers[1:]:
+            check.restart()
+            passed += check.feed(events_of(ids))
+        return passed
+
+    def assert_broken_off(self, check: EventCheck, code: str, *answers: str, passed: str) -> None:
+        self.assertEqual(events_of(passed), self.feed_all(check, *answers))
         self.assertEqual(code, check.error.code)
 
+    def assert_passes(self, check: EventCheck, *answers: str) -> None:
+        self.assertEqual(events_of(' '.join(answers)), self.feed_all(check, *answers))
+        self.assertIsNone(check.error)
+
+
+class TestOrder(OrderTestCase):
     def test_a_repeated_or_earlier_event_is_broken_off_after_those_before_it(self):
         for ids in ('1 2 2 3', '1 2 1', '1 2 02', '1 2 0'):
             self.assert_broken_off(EventCheck(), 'event_out_of_order', ids, passed='1 2')
@@ -76,13 +90,59 @@
 
     def test_ids_without_an_order_are_refused_only_where_a_run_begins_anew(self):
         self.assertEqual(
-            feed_all(EventCheck(), 'b a a c b'), feed_all(EventCheck(), 'b a a', 'c b')
+            self.feed_all(EventCheck(), 'b a a c b'), self.feed_all(EventCheck(), 'b a a', 'c b')
         )
         for again in ('a c', 'b a'):
             self.assert_broken_off(EventCheck(), 'event_out_of_order', 'b a', again, passed='b a')
 
     def test_ids_of_more_than_64_bits_are_not_compared_as_numbers(self):
         huge = '9' * 30
-        check = EventCheck()
-        feed_all(check, f'{huge}1 {huge}0', f'{huge}5')
-        self.assertIsNone(check.error)
+        self.assert_passes(EventCheck(), f'{huge}1 {huge}0', f'{huge}5')
+
+
+class TestMissingEvents(OrderTestCase):
+    def setUp(self):
+        super().setUp()
+        self.steps = EventSteps()
+
+    def check_of(self, resume_after: str = '') -> EventCheck:
+        return EventCheck(resume_after, 'app', self.steps)
+
+    def test_a_jump_beyond_the_step_of_a_call_is_broken_off(self):
+        for passed, after in (('1 2', '4'), ('10 20', '40 50')):
+            self.assert_broken_off(
+                EventCheck(), 'events_missing', f'{passed} {after}', passed=passed
+            )
+            self.assert_broken_off(EventCheck(), 'events_missing', passed, after, passed=passed)
+
+    def test_a_jump_over_events_without_a_number_is_none(self):
+        self.assert_passes(EventCheck(), '1 2 a 4 - 7', '8')
+
+    def test_a_stream_taken_up_after_its_first_event_has_its_services_step(self):
+        self.assert_passes(self.check_of(), '7 8 9')
+        self.assert_broken_off(self.check_of(), 'events_missing', '1', '3 4', passed='1')
+        self.assert_broken_off(self.check_of('4'), 'events_missing', '6 7', passed='')
+        self.assert_passes(self.check_of('4'), '5 6 7')
+        self.assert_passes(self.check_of(), '1', '2', '3 4')
+
+    def test_without_a_known_step_ids_only_have_to_rise(self):
+        self.assert_passes(EventCheck(), '5', '9', '30')
+        self.assert_passes(EventCheck('4'), '90')
+
+    def test_a_service_whose_steps_differ_loses_one_stream_at_most(self):
+        self.feed_all(self.check_of(), '5 9 14')
+        for runs in (['5 9 14 15 30'], ['1 2', '5 6'], ['2', '7']):
+            self.assert_passes(self.check_of(), *runs)
+
+    def test_streams_with_several_steps_take_none_from_each_other(self):
+        self.assert_passes(self.check_of(), '1 2 3')
+        self.assert_passes(self.check_of(), '10 20 30')
+        self.assert_passes(self.check_of('10'), '20 30')
+        for _ in range(AGREEING_STREAMS + 1):
+            self.assert_passes(self.check_of(), '10 20')
+        self.assert_broken_off(self.check_of('10'), 'events_missing', '30', passed='')
+
+    def test_services_are_bounded(self):
+        for number in range(SERVICES_MAX + 1):
+            self.steps.record(str(number), 1)
+        self.assertEqual((0, 1), (self.steps.known('1'), self.steps.known(str(SERVICES_MAX))))
