--- a/packages/attempts/seamhold_attempts/event_order.py
+++ b/packages/attempts/seamhold_attempts/event_order.py
@@ -12,6 +12,8 @@
 
 #: A number above 64 bits is not read as one.
 DIGITS_MAX = 20
+#: A longer id is not sent to another server.
+ID_MAX_BYTES = 256
 
 
 class EventOrder:
@@ -24,9 +26,13 @@
     A jump beyond the call's step is a missing event.  Where the call had no two events in a row
     before the stream was taken up, the step of the service's other streams counts.  Only rising
     is required while the service's streams have several steps.
+
+    `can_resume` is whether another server can be asked for the rest: not after data without an
+    id, which it would repeat or leave out.
     """
 
     def __init__(self, resume_after: str, service: str, steps: EventSteps):
+        self.can_resume = True
         self._service = service
         self._steps = steps
         #: The step of this call's events, 0 if it is not known.
@@ -59,11 +65,13 @@
         if not event.id:
             if event.has_data:
                 self._in_row, self._next = False, None
+                self.can_resume = False
             return
         number = _number_of(event.id)
         if number is None or number != self._next:
             self._check(event.id, number)
         self._last = event.id
+        self.can_resume = len(event.id) <= ID_MAX_BYTES
         self._in_row = number is not None
         if number is not None:
             self._number = number
--- a/packages/router/seamhold/forwarding/events.py
+++ b/packages/router/seamhold/forwarding/events.py
@@ -23,6 +23,11 @@
         """The id of the last event that was passed on, '' for none."""
         return self._order.position
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another server can be asked for what follows the last event."""
+        return self._order.can_resume
+
     @property
     def first(self) -> str:
         """The id of the first event since the stream began or was taken up, '' for none."""
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -216,6 +216,10 @@
     def position(self) -> str:
         """The id of the last event that was passed on, '' for none."""
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another backend server can be asked for what follows the last event."""
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those that end with a whole event."""
 
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -254,11 +254,17 @@
         return answer
 
     def _retry_placement(
-        self, job: Job, placed: Placed, failure: AttemptFailed, streaming: bool
+        self,
+        job: Job,
+        placed: Placed,
+        failure: AttemptFailed,
+        streaming: bool,
+        can_resume: bool = True,
     ) -> Placed:
         """Return the placement for a retry; raises if the call must not be retried.
 
-        `streaming` tells whether a part of the answer may already have been passed on.
+        `streaming` tells whether a part of the answer may already have been passed on, and
+        `can_resume` whether another server can go on from there.
         """
         self._record_attempt(job, failure.outcome, failure.error.code)
         if failure.outcome not in NOT_RUN:
@@ -266,7 +272,7 @@
         if job.cancellation.cancelled:
             self._decider.send(AttemptEnded(job.call.id, Outcome.CANCELLED))
             raise CallerLeft('the caller closed its connection')
-        retry_allowed = self._may_retry(job, failure, streaming)
+        retry_allowed = can_resume and self._may_retry(job, failure, streaming)
         if self._has_ended(placed, failure):
             ends = self._record_engine_end(job, placed, retry_allowed)
             # The call may be the cause of a second end: automatic retries would end engines
@@ -372,7 +378,9 @@
                     answer.close()
                     if not self._is_origin_certain(job):
                         raise failure.error from failure
-                    placed = self._retry_placement(job, placed, failure, streaming=True)
+                    placed = self._retry_placement(
+                        job, placed, failure, streaming=True, can_resume=watch.can_resume
+                    )
                     outcome = Outcome.CANCELLED
                     answer = self._resume(job, placed, watch)
         except SeamholdError as error:
--- a/packages/router/seamhold/streams.py
+++ b/packages/router/seamhold/streams.py
@@ -27,6 +27,7 @@
         self.total = 0
         self.first = ''
         self.done = False
+        self.can_resume = True
         self.error: SeamholdError | None = None
 
     def feed(self, data: bytes) -> bytes:
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from seamhold.forwarding.events import PENDING_MAX_BYTES, EventCheck
+from seamhold_attempts.event_order import ID_MAX_BYTES
 from seamhold_attempts.event_steps import AGREEING_STREAMS, SERVICES_MAX, EventSteps
 
 LINE_ENDS = (b'\n', b'\r\n', b'\r')
@@ -95,6 +96,14 @@
         for again in ('a c', 'b a'):
             self.assert_broken_off(EventCheck(), 'event_out_of_order', 'b a', again, passed='b a')
 
+    def test_a_stream_is_not_taken_up_after_data_without_an_id(self):
+        for ids, can_resume in (('1', True), ('1 -', False), ('-', False), ('1 - 2', True)):
+            check = EventCheck()
+            check.feed(events_of(ids) + b': comment\n\n')
+            self.assertEqual(can_resume, check.can_resume, ids)
+        check.feed(events_of('9' * (ID_MAX_BYTES + 1)))
+        self.assertFalse(check.can_resume)
+
     def test_ids_of_more_than_64_bits_are_not_compared_as_numbers(self):
         huge = '9' * 30
         self.assert_passes(EventCheck(), f'{huge}1 {huge}0', f'{huge}5')
