--- a/packages/router/seamhold/forwarding/response_buffers.py
+++ b/packages/router/seamhold/forwarding/response_buffers.py
@@ -350,13 +350,14 @@
             seconds=round(now - writer.blocked_at, 3),
         )
         self._release(writer, writer.held_bytes)
-        writer.backlog.clear()
         if writer.on_sent is not None:
             writer.on_sent = None
             self._actions.append(writer.discard)
         else:
-            # The caller's watch sees this, and cancels the call at its engine.
+            # The caller's watch sees this, and cancels the call at its engine.  It comes before
+            # the backlog is cleared: to an empty one, the thread would write what follows.
             _shut_down(writer.connection)
+        writer.backlog.clear()
         if writer.on_room is not None:
             self._continue(writer)
 
