--- a/packages/router/seamhold/streams.py
+++ b/packages/router/seamhold/streams.py
@@ -1,11 +1,11 @@
 """Checks a stream of server-sent events while it is passed on.
 
-Events are counted and matched by their bytes and not parsed.
+Events are counted and matched by their lines, and their objects are not parsed.
 """
 
+from seamhold_attempts.event_format import EventReader
 from seamhold_messages.errors import AnswerMismatch, AnswerTooLarge, SeamholdError
 
-EVENT_END = b'\n\n'
 #: JSON contains no raw line break, so a text inside an event cannot imitate these.
 OBJECT_LINE = b'\ndata: {'
 DONE_LINE = b'\ndata: [DONE]'
@@ -22,7 +22,7 @@
 
     def __init__(self, request_id: str):
         self._id = request_id.encode()
-        self._pending = b''
+        self._reader = EventReader()
         self._before = 0
         self.total = 0
         self.first = ''
@@ -32,25 +32,21 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those that end with a whole event."""
-        data = self._pending + data
-        cut = data.rfind(EVENT_END)
-        if cut < 0:
-            self._pending = data
-            if len(data) > PENDING_MAX_BYTES:
-                self.error = AnswerTooLarge(f'an event exceeds {PENDING_MAX_BYTES} bytes')
-            return b''
-        cut += len(EVENT_END)
-        ready, self._pending = data[:cut], data[cut:]
-        lines = b'\n' + ready
-        objects = lines.count(OBJECT_LINE)
-        if ready.count(self._id) < objects:
-            self.error = AnswerMismatch('the stream carries events of another request')
-            return b''
-        if objects and not self.first:
-            self.first = str(self.total + 1)
-        self.total += objects
-        self.done = self.done or DONE_LINE in lines
-        return ready
+        ready = []
+        for event in self._reader.feed(data):
+            lines = b'\n' + event.data.replace(b'\r', b'\n')
+            objects = lines.count(OBJECT_LINE)
+            if event.data.count(self._id) < objects:
+                self.error = AnswerMismatch('the stream carries events of another request')
+                break
+            if objects and not self.first:
+                self.first = str(self.total + 1)
+            self.total += objects
+            self.done = self.done or DONE_LINE in lines
+            ready.append(event.data)
+        if self._reader.pending_bytes > PENDING_MAX_BYTES:
+            self.error = AnswerTooLarge(f'an event exceeds {PENDING_MAX_BYTES} bytes')
+        return b''.join(ready)
 
     @property
     def position(self) -> str:
@@ -68,6 +64,6 @@
 
     def restart(self) -> None:
         """Prepare to continue from another engine; drops a partial event."""
-        self._pending = b''
+        self._reader.reset()
         self.error = None
         self._before, self.first = self.total, ''
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from seamhold.forwarding.events import PENDING_MAX_BYTES, EventCheck
+from seamhold.streams import EventStreamCheck
 from seamhold_attempts.event_order import ID_MAX_BYTES
 from seamhold_attempts.event_steps import AGREEING_STREAMS, SERVICES_MAX, EventSteps
 
@@ -155,3 +156,19 @@
         for number in range(SERVICES_MAX + 1):
             self.steps.record(str(number), 1)
         self.assertEqual((0, 1), (self.steps.known('1'), self.steps.known(str(SERVICES_MAX))))
+
+
+class TestProductsProtocol(testtools.TestCase):
+    def test_events_before_one_of_another_request_pass_for_each_line_end(self):
+        for end in LINE_ENDS:
+            ours, theirs = (b'data: {"id": "%b"}%b' % (name, 2 * end) for name in (b'r1', b'r2'))
+            check = EventStreamCheck('r1')
+            self.assertEqual(2 * ours, check.feed(2 * ours + theirs + ours))
+            self.assertEqual(('answer_mismatch', '2'), (check.error.code, check.position))
+
+    def test_a_stream_is_complete_only_with_its_mark(self):
+        check = EventStreamCheck('r1')
+        check.feed(b'data: {"id": "r1", "text": "data: [DONE]"}\n\n')
+        self.assertFalse(check.end())
+        check.feed(b'data: [DONE]\r\n\r\n')
+        self.assertTrue(check.end())
