--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -216,6 +216,10 @@
     def position(self) -> str:
         """The id of the last event that was passed on, '' for none."""
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another backend server can be asked for what follows the last event."""
+
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return those that end with a whole event."""
 
@@ -241,8 +245,8 @@
         `remaining` is in seconds.  Raises AttemptFailed.
         """
 
-    def stream_check(self, request: EngineRequest) -> StreamCheck:
-        """Return a check for a stream that answers `request`."""
+    def stream_check(self, request: EngineRequest, service: str, /) -> StreamCheck:
+        """Return a check for a stream of `service` that answers `request`."""
 
     def has_ended(self, placed: Placed) -> bool:
         """Whether the server's process has ended, judged by a connection attempt."""
