--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -262,6 +262,12 @@
     ran = Ran.UNKNOWN
 
 
+class AnswerEndUnproven(AnswerCut):
+    """The connection ended as an answer may, but its engine does not seem to be alive."""
+
+    code = 'answer_end_unproven'
+
+
 class AnswerMismatch(SeamholdError):
     """The engine answered with the id of another request."""
 
@@ -270,6 +276,14 @@
     ran = Ran.UNKNOWN
 
 
+class EventOutOfOrder(SeamholdError):
+    """An event of the stream is not above the one before it."""
+
+    code = 'event_out_of_order'
+    status = 502
+    ran = Ran.UNKNOWN
+
+
 class AnswerTooLarge(SeamholdError):
     """An answer that has to be read whole is larger than the box holds of one."""
 
