--- a/packages/membership/seamhold_membership/gossip.py
+++ b/packages/membership/seamhold_membership/gossip.py
@@ -23,6 +23,8 @@
     BOX_LEAVING = 2
     # 3 was a failing engine, which digests now carry as state.
     BOX_GONE = 4
+    #: A watch of the platform's store by this box was not answered.
+    WATCH_UNANSWERED = 5
 
 
 #: Boxes that must report another box as gone before it counts as gone.
@@ -32,6 +34,7 @@
     EventKind.ENGINE_LEAVING: 1,
     EventKind.BOX_LEAVING: 1,
     EventKind.BOX_GONE: REPORTERS_FOR_GONE,
+    EventKind.WATCH_UNANSWERED: 1,
 }
 
 
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -56,6 +56,7 @@
     SetEvacuations,
     StoreAnswered,
     UseSettings,
+    WatchUnanswered,
 )
 from .listed import ListInUse
 from .tasks import SerialTask
@@ -124,6 +125,7 @@
             AbandonCall: self._abandon_call,
             EngineLoadReported: self._engine_load_reported,
             StoreAnswered: lambda _: self._router.store_answered(self._clock()),
+            WatchUnanswered: self._watch_unanswered,
             EngineLeaving: self._engine_leaving,
             EngineResting: self._engine_resting,
             EngineBrittle: self._engine_brittle,
@@ -253,6 +255,8 @@
         if accepted != self._events_accepted:
             self._events_accepted = accepted
             self._notify_peers()
+            # An event may make this box a watcher of the store.
+            self._next_tick = 0.0
 
     def _admit(self, message: Admit) -> Admit:
         # _deliver sets the reply, now or when the call leaves the queue.
@@ -290,6 +294,10 @@
                 Refused(message.call_id, CallerLeft.code, 'the caller closed its connection')
             )
 
+    def _watch_unanswered(self, _: WatchUnanswered) -> None:
+        self._router.watch_unanswered(self._clock())
+        self._log_events()
+
     def _engine_leaving(self, message: EngineLeaving) -> None:
         self._router.engine_leaving(message.engine, message.incarnation, self._clock())
         self._log_events()
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -67,6 +67,10 @@
     """Reports that the platform answered this box."""
 
 
+class WatchUnanswered(Struct):
+    """Reports that the platform did not answer a watch of this box in time."""
+
+
 class AttemptEnded(Struct):
     """Reports the outcome of an attempt."""
 
--- a/packages/router/seamhold/follower.py
+++ b/packages/router/seamhold/follower.py
@@ -100,6 +100,9 @@
     def on_answer(self) -> None:
         """Called after each call that the platform answered."""
 
+    def on_unanswered_watch(self) -> None:
+        """Called after each watch that the platform did not answer in time."""
+
     def on_unreachable(self) -> None:
         """Called after each call that the platform did not answer."""
 
@@ -186,6 +189,7 @@
             detail=error.detail,
             confirmed=self._rounded_age(),
         )
+        self.on_unanswered_watch()
 
     def _rounded_age(self) -> float | None:
         age = self.confirmed_age()
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -17,7 +17,7 @@
 
 from ..clock import boot_seconds
 from ..decider import Decider
-from ..decisions import StoreAnswered
+from ..decisions import StoreAnswered, WatchUnanswered
 from ..follower import Follower
 from ..list_follower import ListFollower
 from ..logs import LogOnce
@@ -88,6 +88,10 @@
         """Record that a call to the store failed."""
         self._decider.store_lost = True
 
+    def on_unanswered_watch(self) -> None:
+        """Record that a watch was not answered; the decider reports it to other boxes."""
+        self._decider.send(WatchUnanswered())
+
     def on_regained(self) -> None:
         """Record that the store answers again."""
         self._decider.store_lost = False
@@ -150,6 +154,10 @@
         """Record that the store answered."""
         self._watch.on_answer()
 
+    def on_unanswered_watch(self) -> None:
+        """Record that the store did not answer a watch."""
+        self._watch.on_unanswered_watch()
+
     def on_unreachable(self) -> None:
         """Record that the store did not answer."""
         self._watch.on_lost()
@@ -270,6 +278,10 @@
         """Record that the store answered."""
         self._source.watch.on_answer()
 
+    def on_unanswered_watch(self) -> None:
+        """Record that the store did not answer a watch."""
+        self._source.watch.on_unanswered_watch()
+
     def on_unreachable(self) -> None:
         """Request the lists from other boxes, which may have newer ones."""
         self._source.request_lists()
--- a/packages/routing/seamhold_routing/beliefs.py
+++ b/packages/routing/seamhold_routing/beliefs.py
@@ -51,9 +51,10 @@
     sign: Sign
 
 
-def belief_from_event(event: Event, sign: Sign) -> Belief:
-    """Return the belief that follows from an event."""
-    return Belief(event.subject, EVENT_PHASES[event.kind], event.origin, sign)
+def belief_from_event(event: Event, sign: Sign) -> Belief | None:
+    """Return the belief that follows from an event, None if it changes no phase."""
+    phase = EVENT_PHASES.get(event.kind)
+    return None if phase is None else Belief(event.subject, phase, event.origin, sign)
 
 
 def phase_changes(before: dict[str, Phase], after: dict[str, Phase]) -> list[Belief]:
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -120,6 +120,9 @@
         self.selection = WatcherSelection(box)
         #: Whether this box watches the platform's store for the fleet and has not lost it.
         self.watching = False
+        #: Whether this box's last watch was not answered, and how many were not so far.
+        self._watch_unanswered = False
+        self._unanswered_watches = 0
         #: What each peer last said that it spent of its retry budgets.
         self._retries: dict[str, _RetryReport] = {}
         #: When the platform last answered any box, as far as this box knows.
@@ -206,6 +209,21 @@
             self.selection.record_heartbeat(heartbeat.box, at)
             self._relay.put_heartbeat(heartbeat, now)
 
+    def record_unanswered_watch(self, now: float) -> None:
+        """Report to all boxes that a watch of this box was not answered; repeats are not sent."""
+        if not self.watching or self._watch_unanswered:
+            return
+        self._watch_unanswered = True
+        self._unanswered_watches += 1
+        occurrence = f'{self._incarnation}/{self._unanswered_watches}'
+        self.record_event(
+            Event(EventKind.WATCH_UNANSWERED, self._box, occurrence, self._box), now, Sign.CALL
+        )
+
+    def record_own_answer(self) -> None:
+        """Record that the store answers this box."""
+        self._watch_unanswered = False
+
     def record_store_answer(self, at: float) -> None:
         """Record that the platform answered this or another box at time `at`."""
         if self.store_answered_at is None or at > self.store_answered_at:
@@ -250,13 +268,17 @@
         if not state.events.add(event, len(state.boxes.peers()) + 1):
             return
         state.counts[f'event.{event.kind.name.lower()}'] += 1
-        state.beliefs.append(belief_from_event(event, sign))
+        belief = belief_from_event(event, sign)
+        if belief is not None:
+            state.beliefs.append(belief)
         if event.kind is EventKind.ENGINE_LEAVING:
             state.engines.mark_leaving(event.subject, event.incarnation, now)
         elif event.kind is EventKind.BOX_LEAVING:
             state.boxes.mark_leaving(event.subject, event.incarnation)
         elif event.kind is EventKind.BOX_GONE:
             state.boxes.record_gone_report(event.subject, event.origin, now)
+        elif event.kind is EventKind.WATCH_UNANSWERED:
+            self.selection.record_unanswered(event.subject, now)
 
     def forget_silent(self, now: float) -> None:
         """Drop what silent neighbours reported, and report them gone to other boxes if needed."""
@@ -320,7 +342,7 @@
             waiting=waiting,
             store_age=None if self.store_answered_at is None else now - self.store_answered_at,
         )
-        if self.watching:
+        if self.watching and not self._watch_unanswered:
             self._relay.put_heartbeat(WatcherHeartbeat(self._box), now)
         for report in state.health.new_reports(self._box, now):
             self._relay.put_report(report, now)
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -247,8 +247,13 @@
     def store_answered(self, now: float) -> None:
         """Record that the platform answered this box."""
         self.exchange.record_store_answer(now)
+        self.exchange.record_own_answer()
         self._store_access.record_answer(now)
 
+    def watch_unanswered(self, now: float) -> None:
+        """Record that the platform did not answer a watch of this box in time."""
+        self.exchange.record_unanswered_watch(now)
+
     # Calls.
 
     def admit(self, call: Call, now: float) -> list[Decision]:
--- a/packages/routing/seamhold_routing/watchers.py
+++ b/packages/routing/seamhold_routing/watchers.py
@@ -92,7 +92,8 @@
 
     The boxes that rank first by rendezvous hashing watch, and send heartbeats that all boxes
     relay.  A box whose heartbeats stop, or that has lost access to the store, is skipped, and
-    the next in rank takes its place.
+    the next in rank takes its place.  So is one whose watch was not answered, until its next
+    heartbeat; at most WATCHERS at a time, as a slow store answers no box in time.
     """
 
     def __init__(self, me: str):
@@ -101,6 +102,8 @@
         #: When each watcher sent its last heartbeat, and since when heartbeats are expected.
         self._heartbeats: dict[str, float] = {}
         self._expected: dict[str, float] = {}
+        #: When boxes reported that a watch was not answered.
+        self._unanswered: dict[str, float] = {}
         #: Start of the selection: the watchers of the first check are expected since then.
         self._began: float | None = None
         self._checked = False
@@ -117,8 +120,14 @@
         if at <= self._heartbeats.get(box, -math.inf):
             return False
         self._heartbeats[box] = at
+        if at > self._unanswered.get(box, -math.inf):
+            self._unanswered.pop(box, None)
         return True
 
+    def record_unanswered(self, box: str, at: float) -> None:
+        """Record that a watcher reported at time `at` that its watch was not answered."""
+        self._unanswered[box] = at
+
     def last_heartbeat_at(self, box: str) -> float:
         """Return when the box sent its last heartbeat, minus infinity for never."""
         return self._heartbeats.get(box, -math.inf)
@@ -135,7 +144,7 @@
         expected, self._expected = self._expected, {}
         expected_since = now if self._checked or self._began is None else self._began
         self._checked = True
-        watchers = 0
+        watchers = skipped = 0
         for name in self._in_rank():
             if watchers >= WATCHERS:
                 break
@@ -147,11 +156,17 @@
                 return True
             since = expected.get(name, expected_since)
             self._expected[name] = since
+            if name in self._unanswered and skipped < WATCHERS:
+                skipped += 1
+                continue
             if now <= max(since, self.last_heartbeat_at(name)) + silent_seconds:
                 watchers += 1
         self._heartbeats = {
             name: at for name, at in self._heartbeats.items() if name in self._expected
         }
+        self._unanswered = {
+            name: at for name, at in self._unanswered.items() if name in self._expected
+        }
         return False
 
     def _in_rank(self) -> Iterator[str]:
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -55,6 +55,27 @@
         lost = self.watchers(selections, 0.5)
         self.assertEqual(WATCHERS, len(self.watchers(selections, 0.6, lost=lost) - lost))
 
+    def test_a_watcher_whose_watch_is_not_answered_is_replaced_until_its_next_heartbeat(self):
+        selections = self.selections()
+        (deaf, *_) = sorted(self.watchers(selections, 0.5))
+        for name, selection in selections.items():
+            if name != deaf:
+                selection.record_unanswered(deaf, 0.6)
+        second = self.watchers(selections, 0.6)
+        self.assertEqual(WATCHERS + 1, len(second))
+        for selection in selections.values():
+            selection.record_heartbeat(deaf, 0.7)
+        self.assertEqual(WATCHERS, len(self.watchers(selections, 0.8)))
+
+    def test_a_store_that_answers_no_watch_in_time_adds_no_more_watchers_than_usual(self):
+        selections = self.selections()
+        for step in range(5):
+            for deaf in self.watchers(selections, 0.5):
+                for name, selection in selections.items():
+                    if name != deaf:
+                        selection.record_unanswered(deaf, 0.5 + step / 100)
+        self.assertLessEqual(len(self.watchers(selections, 0.6)), 2 * WATCHERS)
+
     def test_watchers_take_turns(self):
         selections = self.selections()
         turns = [selections[name].turn for name in self.watchers(selections, 0.5)]
