--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -362,7 +362,9 @@
         The finally clause also runs when the caller disconnects: it cancels the call at
         the engine.
         """
-        watch = self._engines.stream_check(job.request, job.call.service)
+        # Elsewhere a caller's last event means nothing: a server may begin anew.
+        begun = job.request if job.rule.repeatable else replace(job.request, resume_after='')
+        watch = self._engines.stream_check(begun, job.call.service)
         outcome = Outcome.CANCELLED
         try:
             while True:
