--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -61,6 +61,9 @@
 UNSENT_BYTES = 128 * 1024
 #: SO_LINGER that discards what the kernel still holds for a connection, and resets it.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+CLOSE_IN_ORDER = struct.pack('ii', 0, 0)
+#: Without a length, answers in this protocol have chunks, and in an older one neither.
+CHUNKING_PROTOCOL = 'HTTP/1.1'
 #: Statuses that guarantee to the caller that its request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -362,6 +365,7 @@
             if not self.paused:
                 self._events.close()
         self.complete = True
+        connection.resets = False
 
     def _pause(self) -> None:
         self.paused = True
@@ -388,6 +392,8 @@
         self.first_byte_at = self._clock()
         self.sent = True
         request.sent_headers = True
+        if length is None and request.response_protocol != CHUNKING_PROTOCOL:
+            request.conn.reset_unless_whole()
         request.send_headers()
 
     def send_problem(self, status: int, error: SeamholdError, retry_after: str | None) -> None:
@@ -407,8 +413,6 @@
     def abort(self) -> None:
         """Close the connection without ending the answer, which the caller sees as cut."""
         request = self.request
-        # Without chunks a close in order is the end of the answer.
-        request.conn.resets = self.sent and not request.chunked_write
         request.close_connection = True
         request.sent_headers = True
         request.chunked_write = False
@@ -482,8 +486,9 @@
         super().__init__(server, sock, *makefile)
         #: The answer that goes on when its caller has read some of it; None if there is none.
         self.paused: _Exchange | None = None
-        #: Whether the connection is reset when it is closed.
+        #: Whether a close in order would be the end of an answer that is not whole.
         self.resets = False
+        self._lingers = False
         self._writer: ResponseWriter | None = None
         if server.buffers is not None:
             self._writer = ResponseWriter(server.buffers, sock, self._close_now)
@@ -527,10 +532,22 @@
 
     def _close_now(self) -> None:
         self.resets = self.resets or (self._writer is not None and bool(self._writer.dropped))
-        if self.resets:
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        if self.resets or self._lingers:
+            self._set_linger(RESET_ON_CLOSE if self.resets else CLOSE_IN_ORDER)
         super().close()
 
+    def reset_unless_whole(self) -> None:
+        """Reset the connection when it is closed, also by the end of this process.
+
+        It holds until `resets` is False at the close.
+        """
+        self.resets = True
+        self._set_linger(RESET_ON_CLOSE)
+
+    def _set_linger(self, linger: bytes) -> None:
+        self._lingers = True
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _close_kernel_socket(self):
         """Shut the connection down, unless that would end it in order before it is reset."""
         if not self.resets:
