--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -28,7 +28,7 @@
 
 from ..answer_ends import confirm_end
 from ..clock import boot_seconds
-from ..framing import Framing, framing_of
+from ..framing import Framing, framing_of, is_readable
 from ..ports import (
     Answer,
     AttemptFailed,
@@ -115,6 +115,7 @@
         self.leaving = False
         self.brittle = False
         self.framing = framing_of(response)
+        self.readable = is_readable(response)
         self.carrier = connected.carrier if isinstance(connected, TunnelSocket) else ''
 
     def chunks(self) -> Iterator[bytes]:
@@ -321,6 +322,9 @@
         if not verdict.genuine:
             mismatch = AnswerMismatch(f'the {answer.status} answer is not for this request')
             raise AttemptFailed(Outcome.FAILED, mismatch)
+        if not answer.readable:
+            unreadable = EngineFailed('the length or coding of the body cannot be read')
+            raise AttemptFailed(Outcome.FAILED, unreadable)
         if answer.status >= 500:
             own = Answer(answer.status, dict(answer.headers), answer.whole(FAILURE_MAX_BYTES))
             failed = EngineFailed(f'the server answered {answer.status}')
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,13 +1,15 @@
 """Whether the end of an answer's bytes is taken for the end of the answer."""
 
+import io
 import subprocess
 import sys
 
 import testtools
+import urllib3
 
 from seamhold.answer_ends import confirm_end
 from seamhold.engines import REQUEST_ID_HEADER, EngineClient
-from seamhold.framing import Framing
+from seamhold.framing import Framing, is_readable
 from seamhold.ports import AttemptFailed, Cancellation, EngineRequest
 from seamhold.probing import Life, find_life
 from seamhold_messages.errors import AnswerEndUnproven
@@ -52,6 +54,24 @@
         )
 
 
+class TestFraming(testtools.TestCase):
+    def assert_readable(self, readable: bool, **headers: str) -> None:
+        fields = {name.replace('_', '-'): value for name, value in headers.items()}
+        response = urllib3.HTTPResponse(io.BytesIO(), headers=fields, preload_content=False)
+        self.assertIs(readable, is_readable(response), headers)
+
+    def test_a_body_whose_end_cannot_be_found_is_not_taken_for_one_without_a_length(self):
+        for length in ('x', '-1', '1.5'):
+            self.assert_readable(False, Content_Length=length)
+        for coding in ('gzip, chunked', 'gzip', 'chunked, identity'):
+            self.assert_readable(False, Transfer_Encoding=coding)
+
+    def test_a_body_with_a_length_chunks_or_neither_can_be_read(self):
+        self.assert_readable(True)
+        self.assert_readable(True, Content_Length='3')
+        self.assert_readable(True, Transfer_Encoding='Chunked', Content_Length='x')
+
+
 class TestFindLife(testtools.TestCase):
     def test_a_connection_that_times_out_shows_no_life(self):
         def connect():
