--- a/Makefile
+++ b/Makefile
@@ -55,8 +55,9 @@
 # requests that end each engine that runs them, beside troubles of boxes, one in which boxes
 # are cut from all engines and connections between boxes go silent, and one of brittle servers
 # beside engines that fall silent for a second, and one in which all boxes start anew and their connections
-# to each other go silent; one with engines of two software versions and streams that break off, and
-# one with a prompt part that crashes servers.
+# to each other go silent; one with engines of two software versions and streams that break off,
+# one with a prompt part that crashes servers, and one in which servers that are processes are
+# killed, some of them behind carriers that are killed and stopped.
 soak-dialect-short: install
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --runs 2 --seconds 12
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --seconds 12 --scale 0.5 --series hot,release+engines_come
@@ -66,6 +67,7 @@
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 1 --seconds 12 --quirks none --rate 60 --busy 0 --series peers_silent_after_start
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 7 --seconds 12 --quirks none --rate 40 --busy 0 --series two_versions,kill+term
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 8 --seconds 12 --quirks none --rate 40 --busy 0 --engines 14 --series ending_part,reload
+	cd platform && ../$(BIN)/python -m dialect_soak --seed 37 --seconds 12 --quirks none --rate 20 --busy 0 --series carried_server_kill,kill+term
 
 soak-dialect: install
 	cd platform && ../$(BIN)/python -m dialect_soak --seed $(SEED) --runs $(RUNS)
