--- a/packages/router/seamhold/forwarding/caller_watch.py
+++ b/packages/router/seamhold/forwarding/caller_watch.py
@@ -55,6 +55,13 @@
                     watched[1].cancel()
 
 
+def is_readable(connection: socket.socket) -> bool:
+    """Whether a read from an open connection would not wait; this does not wait itself."""
+    poll = select.poll()
+    poll.register(connection, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def has_left(connection: socket.socket) -> bool:
     """Whether the caller closed or reset the connection; this does not wait.
 
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -37,7 +37,7 @@
 from ..problems import CONTENT_TYPE, problem
 from ..runner import Runner
 from ..stream_origins import StreamOrigins
-from .caller_watch import CallerWatch, has_left
+from .caller_watch import CallerWatch, has_left, is_readable
 from .calls import RoutedRequest, can_be_taken_up, find_route, follow_origin, prepare, seconds_left
 from .heads import HOP_BY_HOP, RequestHead, StrictHeaderReader, read_head
 from .read_deadlines import ReadDeadlines, ReadLimit
@@ -489,6 +489,8 @@
         #: Whether a close in order would be the end of an answer that is not whole.
         self.resets = False
         self._lingers = False
+        #: Whether it has just been accepted.
+        self.is_new = True
         self._writer: ResponseWriter | None = None
         if server.buffers is not None:
             self._writer = ResponseWriter(server.buffers, sock, self._close_now)
@@ -599,7 +601,15 @@
         conn.when_sent(lambda: super(ForwardingServer, self).put_conn(conn))
 
     def process_conn(self, conn):
-        """Hand a readable connection to a worker thread, and grow the pool if needed."""
+        """Hand a connection to a worker thread, and grow the pool if needed.
+
+        A new connection gets a thread once the first bytes of its request are there.
+        """
+        if conn.is_new and not is_readable(conn.socket):
+            conn.is_new = False
+            self._connections.put(conn)
+            return
+        conn.is_new = False
         super().process_conn(conn)
         self._pool_grower.check()
 
