--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
+from http import HTTPStatus
 
 from msgspec.structs import replace
 
@@ -12,6 +13,7 @@
     AnswerTimeout,
     CallerLeft,
     DeadlinePassed,
+    EngineFailed,
     Ran,
     RequestOnTrial,
     RequestQuarantined,
@@ -413,10 +415,19 @@
             request = replace(job.request, resume_after=watch.position)
         while True:
             try:
-                return self._open(job, placed, request)
+                return self._open_rest(job, placed, request)
             except AttemptFailed as failure:
                 placed = self._retry_placement(job, placed, failure, streaming=True)
 
+    def _open_rest(self, job: Job, placed: Placed, request: EngineRequest) -> OpenAnswer:
+        """Open an answer that goes on with a stream; raises AttemptFailed for any other."""
+        answer = self._open(job, placed, request)
+        if answer.status == HTTPStatus.OK:
+            return answer
+        answer.close()
+        failed = EngineFailed(f'the server answered {answer.status} instead of the rest')
+        raise AttemptFailed(Outcome.ANSWERED_FAILURE, failed)
+
     @staticmethod
     def _events(watch: StreamCheck, answer: OpenAnswer) -> Iterator[bytes]:
         for data in answer.chunks():
