--- a/packages/attempts/seamhold_attempts/event_order.py
+++ b/packages/attempts/seamhold_attempts/event_order.py
@@ -14,6 +14,8 @@
 DIGITS_MAX = 20
 #: A longer id is not sent to another server.
 ID_MAX_BYTES = 256
+#: Where a service's streams have several steps, a call's own counts after it was seen so often.
+STEPS_SEEN_MIN = 2
 
 
 class EventOrder:
@@ -24,8 +26,8 @@
     where a server that takes the stream up begins with the last one or with the first one.
 
     A jump beyond the call's step is a missing event.  Where the call had no two events in a row
-    before the stream was taken up, the step of the service's other streams counts.  Only rising
-    is required while the service's streams have several steps.
+    before the stream was taken up, the step of the service's other streams counts, while they have
+    one, else that of the run which follows.
 
     `can_resume` is whether another server can be asked for the rest: not after data without an
     id, which it would repeat or leave out.
@@ -37,7 +39,11 @@
         self._steps = steps
         #: The step of this call's events, 0 if it is not known.
         self._step = 0
+        #: How often this call's events rose by that step in a row.
+        self._steps_seen = 0
         self._has_one_step = True
+        #: The jump to the first event of this run, if nothing could be compared with it; else 0.
+        self._unjudged_jump = 0
         self._last = resume_after.encode('latin-1')
         self._number = _number_of(self._last)
         #: The number of the next event where nothing else has to be judged.
@@ -70,6 +76,8 @@
         number = _number_of(event.id)
         if number is None or number != self._next:
             self._check(event.id, number)
+        else:
+            self._steps_seen += 1
         self._last = event.id
         self.can_resume = len(event.id) <= ID_MAX_BYTES
         self._in_row = number is not None
@@ -95,9 +103,12 @@
     def _check_step(self, event_id: bytes, step: int) -> None:
         """Learn the step within an answer, and raise EventsMissing for a jump beyond it."""
         due = self._due_step()
-        if self._run_first and not self._step:
-            self._step = step
+        if not self._run_first and not due:
+            self._unjudged_jump = step
+        elif self._run_first and not self._step:
+            self._step, self._steps_seen = step, 1
             self._steps.record(self._service, step)
+            self._check_unjudged_jump(step)
         elif self._run_first and step != self._step and self._has_one_step:
             self._has_one_step = False
             self._steps.record_difference(self._service, self._step)
@@ -107,10 +118,22 @@
                 f'{number} is due after {_shown(self._last)}, not {_shown(event_id)}'
             )
 
+    def _check_unjudged_jump(self, step: int) -> None:
+        """Raise EventsMissing if events are missing before the first one of this run.
+
+        That one was passed on, so nobody can be asked for what is missing.
+        """
+        if self._unjudged_jump > step:
+            self.can_resume = False
+            raise EventsMissing(f'ids rise by {step}, and by {self._unjudged_jump} before this run')
+
     def _due_step(self) -> int:
         """Return the step to the next event, 0 if it is not known."""
-        if not self._has_one_step or self._steps.differ(self._service):
+        if not self._has_one_step:
             return 0
+        if self._steps.differ(self._service):
+            taken_up = not self._run_first
+            return self._step if taken_up and self._steps_seen >= STEPS_SEEN_MIN else 0
         if self._step or self._run_first:
             return self._step
         return self._steps.known(self._service)
@@ -118,6 +141,7 @@
     def take_up(self) -> None:
         """Expect the rest of the stream from another server."""
         self._run_first = b''
+        self._unjudged_jump = 0
         self._next = None
         self._in_row = _number_of(self._last) is not None
 
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -135,6 +135,16 @@
         self.assert_passes(self.check_of('4'), '5 6 7')
         self.assert_passes(self.check_of(), '1', '2', '3 4')
 
+    def test_a_jump_before_a_run_is_seen_once_its_step_is_known(self):
+        for check, answers in ((EventCheck(), ('1', '3 4')), (EventCheck('2'), ('4 5',))):
+            passed = ' '.join(answers)[:-2]
+            self.assert_broken_off(check, 'events_missing', *answers, passed=passed)
+            self.assertFalse(check.can_resume)
+
+    def test_a_calls_own_step_counts_at_a_taking_up_though_others_differ(self):
+        self.feed_all(self.check_of(), '5 9 14')
+        self.assert_broken_off(self.check_of(), 'events_missing', '1 2 3', '5', passed='1 2 3')
+
     def test_without_a_known_step_ids_only_have_to_rise(self):
         self.assert_passes(EventCheck(), '5', '9', '30')
         self.assert_passes(EventCheck('4'), '90')
