--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -50,10 +50,10 @@
     """
 
     repeatable: bool | None = None
-    deadline: Annotated[float, Meta(gt=0, le=3600)] | None = None
+    deadline: Annotated[float, Meta(gt=0, le=INTEGER_MAX)] | None = None
     priority: Annotated[int, Meta(ge=0, le=INTEGER_MAX)] | None = None
-    objective: Annotated[float, Meta(gt=0, le=3600)] | None = None
-    pause: Annotated[float, Meta(gt=0, le=3600)] | None = None
+    objective: Annotated[float, Meta(gt=0, le=INTEGER_MAX)] | None = None
+    pause: Annotated[float, Meta(gt=0, le=INTEGER_MAX)] | None = None
     resumable: bool | None = None
     retries: Annotated[int, Meta(ge=0, le=INTEGER_MAX)] | None = None
     max_body_bytes: Annotated[int, Meta(ge=1, le=64 * 1024 * 1024)] | None = None
