--- a/packages/router/seamhold/framing.py
+++ b/packages/router/seamhold/framing.py
@@ -29,7 +29,8 @@
 
     An unreadable length would count as none, and chunks under another coding as the body itself.
     """
-    if response.headers.get('Transfer-Encoding', '').strip().lower() not in READABLE_CODINGS:
+    # With a space around it, http.client does not know the coding.
+    if response.headers.get('Transfer-Encoding', '').lower() not in READABLE_CODINGS:
         return False
     has_length = 'Content-Length' in response.headers and not response.chunked
     return not has_length or response.length_remaining is not None
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -4,6 +4,8 @@
 import subprocess
 import sys
 
+from types import SimpleNamespace
+
 import testtools
 import urllib3
 
@@ -72,6 +74,14 @@
         self.assert_readable(True, Transfer_Encoding='Chunked', Content_Length='x')
 
 
+class TestCodings(testtools.TestCase):
+    def test_a_coding_that_the_parser_of_chunks_does_not_know_is_unreadable(self):
+        for coding, readable in (('chunked', True), ('Chunked', True), ('chunked ', False)):
+            headers = {'Transfer-Encoding': coding}
+            response = SimpleNamespace(headers=headers, chunked=True, length_remaining=None)
+            self.assertEqual(readable, is_readable(response), coding)
+
+
 class TestFindLife(testtools.TestCase):
     def test_a_connection_that_times_out_shows_no_life(self):
         def connect():
