--- a/packages/settings/seamhold_settings/valid_items.py
+++ b/packages/settings/seamhold_settings/valid_items.py
@@ -14,6 +14,8 @@
 
 NO_MAPPING = 'is no mapping'
 NO_LIST = 'is no list'
+#: The shares of a route whose requests no service gets.
+NO_SERVICE = [{'service': 'none', 'weight': 0}]
 
 
 class ValidItems(Struct, frozen=True):
@@ -30,6 +32,8 @@
     """Return a tree's values without invalid services, routes, bounds of callers and workspaces.
 
     An invalid workspace stays without its keys: while there are workspaces, callers need a key.
+    An invalid route stays without services where its host and prefix are valid: its requests must
+    not go to the route of a shorter prefix.
     """
     problems: list[str] = []
     fleet = dict(values.get('fleet') or {})
@@ -59,9 +63,17 @@
 
 
 def _valid_routes(routes: Iterable[object], problems: list[str]) -> Iterator[object]:
+    """Yield the valid routes, and after them those that only keep others from their requests."""
+    without_services = []
     for number, route in enumerate(routes):
         if _is_valid(ForwardedRoute, route, f'fleet.forwarding.{number}', problems):
             yield route
+        elif isinstance(route, dict):
+            place = {name: route.get(name) for name in ('host', 'path_prefix')}
+            without_services.append(place | {'shares': NO_SERVICE})
+    for route in without_services:
+        if _is_valid(ForwardedRoute, route, '', []):
+            yield route
 
 
 def _is_valid(kind: type, value: object, path: str, problems: list[str]) -> bool:
--- a/tests/test_valid_items.py
+++ b/tests/test_valid_items.py
@@ -3,7 +3,7 @@
 import testtools
 
 from seamhold_settings import ActiveSettings, Candidate, OfferResult
-from seamhold_settings.forwarding import RouteTable
+from seamhold_settings.forwarding import RouteTable, choose_service
 from seamhold_settings.tree import TREE_OBJECT
 
 KEY = 'sha256:' + '0' * 64
@@ -48,6 +48,15 @@
         ):
             self.assertNotEqual((), self.active(**changes).left_out)
 
+    def test_requests_of_an_invalid_route_go_to_no_other_one(self):
+        routes = [
+            SOUND_ROUTE | {'path_prefix': '/pay/', 'policy': {'deadline': 0}},
+            SOUND_ROUTE | {'path_prefix': '/', 'public': True},
+        ]
+        found = RouteTable(self.active(routes=routes).tree).find('a', '/pay/x')
+        self.assertFalse(found.public)
+        self.assertIsNone(choose_service(found.shares, 'id'))
+
     def test_callers_need_a_key_while_all_workspaces_are_invalid(self):
         state = ActiveSettings()
         values = {'fleet': {}, 'workspaces': {'bad': {'weight': -1, 'keys': [KEY]}}}
