--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -3,7 +3,6 @@
 import io
 import subprocess
 import sys
-
 from types import SimpleNamespace
 
 import testtools
