A carrier tells whether the server lives as a carried connection ends

Callers of a box that was cut from its servers saw whole answers broken off as the box that carried them stopped: an answer without length or chunks is whole only if its server lives, the asking box looked through a peer, and the gate of the only peer was closed.

The carrier saw the connection end, so it looks itself, as soon as the end arrives, and says the result in the tunnel's last message; a stopping box does so to its end. Where no carrier told, the box asks several peers at once with a call of its own (FindLiveness), which passes no gate and opens no tunnel; before it opened up to five tunnels through one peer after another. A box whose own look found no answer asks its peers, too: it may have been cut a moment before.

Ruled out: passing the look through a closed gate as a tunnel, which a stopping box would have to wait for.

Costs one connection at the carrier for each carried connection that the server closes first.

--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -76,6 +76,19 @@
     wait: float
 
 
+class LivenessQuery(Struct, frozen=True):
+    """Question whether this start of an engine is alive."""
+
+    engine: str
+    incarnation: str
+
+
+class LivenessReply(Struct, frozen=True):
+    """A value of `seamhold.probing.Life`, '' if the peer does not list this start."""
+
+    liveness: str = ''
+
+
 class StreamQuery(Struct, frozen=True):
     """Request for the origin of the stream with this key, and for the versions of a service."""
 
--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -26,6 +26,8 @@
     AnswerPart,
     ClaimRequest,
     FleetLists,
+    LivenessQuery,
+    LivenessReply,
     RelayedCall,
     StreamQuery,
     StreamReply,
@@ -54,6 +56,8 @@
 TRIAL_REQUEST_SECONDS = 0.5
 #: A caller waits for the answer.  Without it the stream cannot be taken up.
 FIND_STREAM_SECONDS = 0.5
+#: A peer tells about an engine within its own limits on connecting to it.
+FIND_LIVENESS_SECONDS = 0.5
 #: A call without an answer is sent again on a new connection after this long, in seconds, or
 #: after this share of its time limit if that is less.  Where it had to open the first connection,
 #: which takes some round trips, it waits longer.
@@ -218,6 +222,10 @@
         """Return what the peer knows of a stream's origin; raises one of PEER_ERRORS."""
         return await self._call(lambda stub: stub.find_stream(query), FIND_STREAM_SECONDS)
 
+    async def find_liveness(self, query: LivenessQuery) -> LivenessReply:
+        """Return whether an engine is alive, as the peer finds it; raises one of PEER_ERRORS."""
+        return await self._call(lambda stub: stub.find_liveness(query), FIND_LIVENESS_SECONDS)
+
     async def open_tunnel(self, request: TunnelRequest, seconds: float) -> Tunnel:
         """Let the peer connect to an engine; raises TunnelFailed or one of PEER_ERRORS.
 
--- a/packages/peers/seamhold_peers/server.py
+++ b/packages/peers/seamhold_peers/server.py
@@ -20,6 +20,8 @@
     AnswerPart,
     ClaimRequest,
     FleetLists,
+    LivenessQuery,
+    LivenessReply,
     RelayedCall,
     StreamQuery,
     StreamReply,
@@ -73,6 +75,9 @@
     async def find_stream(self, query: StreamQuery) -> StreamReply:
         """Return what this box knows of a stream's origin."""
 
+    async def find_liveness(self, query: LivenessQuery) -> LivenessReply:
+        """Find out whether an engine is alive, also while this box stops."""
+
     def carry(self, request: TunnelRequest) -> AbstractAsyncContextManager[Connection]:
         """Connect to an engine for a peer; raises TunnelFailed."""
 
@@ -156,6 +161,7 @@
                 self.record_streams, one, codec.StreamRecords, codec.Acknowledgement
             ),
             Path.FIND_STREAM: Handler(self.find_stream, one, StreamQuery, StreamReply),
+            Path.FIND_LIVENESS: Handler(self.find_liveness, one, LivenessQuery, LivenessReply),
             Path.TUNNEL: Handler(
                 self.tunnel, Cardinality.STREAM_STREAM, TunnelMessage, TunnelMessage
             ),
@@ -242,6 +248,10 @@
         """Send what this box knows of a stream's origin."""
         await stream.send_message(await self._handler.find_stream(await stream.recv_message()))
 
+    async def find_liveness(self, stream) -> None:
+        """Send whether an engine is alive."""
+        await stream.send_message(await self._handler.find_liveness(await stream.recv_message()))
+
     async def tunnel(self, stream) -> None:
         """Carry a connection to an engine for a box that cannot reach it."""
         await serve_tunnel(stream, self._handler.carry)
--- a/packages/peers/seamhold_peers/service.py
+++ b/packages/peers/seamhold_peers/service.py
@@ -9,7 +9,14 @@
 from seamhold_quarantine import Permission, TrialRequest, TrialResult
 
 from . import codec
-from .calls import ClaimRequest, RelayedCall, StreamQuery, StreamReply
+from .calls import (
+    ClaimRequest,
+    LivenessQuery,
+    LivenessReply,
+    RelayedCall,
+    StreamQuery,
+    StreamReply,
+)
 from .tunnel import TunnelMessage
 
 
@@ -29,6 +36,7 @@
     END_TRIAL = '/seamhold.peers.v1.Peers/EndTrial'
     RECORD_STREAMS = '/seamhold.peers.v1.Peers/RecordStreams'
     FIND_STREAM = '/seamhold.peers.v1.Peers/FindStream'
+    FIND_LIVENESS = '/seamhold.peers.v1.Peers/FindLiveness'
     TUNNEL = '/seamhold.peers.v1.Peers/Tunnel'
 
 
@@ -67,6 +75,9 @@
             channel, Path.RECORD_STREAMS, codec.StreamRecords, codec.Acknowledgement
         )
         self.find_stream = UnaryUnaryMethod(channel, Path.FIND_STREAM, StreamQuery, StreamReply)
+        self.find_liveness = UnaryUnaryMethod(
+            channel, Path.FIND_LIVENESS, LivenessQuery, LivenessReply
+        )
         message_type: Any = TunnelMessage
         self.tunnel: StreamStreamMethod = StreamStreamMethod(
             channel, Path.TUNNEL, message_type, message_type
--- a/packages/peers/seamhold_peers/tunnel.py
+++ b/packages/peers/seamhold_peers/tunnel.py
@@ -5,12 +5,14 @@
 before, so a tunnel that does not open has sent nothing.
 
 The end of the stream is not the end of the connection: a stream also ends as the peer stops, fails
-or is killed.  The peer says in a message of its own that the engine closed the connection.
+or is killed.  The peer says in a message of its own that the engine closed the connection, and
+whether the engine was alive then: a peer that stops tells so of the connections that it still has.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from typing import NamedTuple
 
 from grpclib.exceptions import StreamTerminatedError
 from msgspec import Struct
@@ -19,7 +21,21 @@
 
 READ_BYTES = 64 * 1024
 
-Connection = tuple[EngineReader, asyncio.StreamWriter]
+
+async def not_checked() -> str:
+    """Return that it is not known whether an engine is alive."""
+    return ''
+
+
+class Connection(NamedTuple):
+    """A connection to an engine; `find_liveness` returns whether the engine is alive now.
+
+    The liveness is a value of `seamhold.probing.Life`, or '' if it was not checked.
+    """
+
+    reader: EngineReader
+    writer: asyncio.StreamWriter
+    find_liveness: Callable[[], Awaitable[str]] = not_checked
 
 
 class TunnelRequest(Struct, frozen=True, tag='open'):
@@ -51,9 +67,11 @@
     """The end of the carried connection; `error` is '' if the engine closed it in order.
 
     The kernel of an engine that was killed does so, too: the end says nothing of an answer.
+    `liveness` is what the peer found at an end in order, as in `Connection`.
     """
 
     error: str
+    liveness: str = ''
 
 
 #: A box sends one request and then data; the peer sends one reply, then data and one end.
@@ -74,6 +92,8 @@
     def __init__(self, stream):
         self._stream = stream
         self._resources = AsyncExitStack()
+        #: Whether the engine was alive when it closed the connection, '' if nobody checked.
+        self.liveness = ''
 
     def keep(self, resources: AsyncExitStack) -> None:
         """Hold what the tunnel uses until it is closed."""
@@ -95,6 +115,7 @@
             raise ConnectionResetError('the peer did not say that the engine ended')
         if message.error:
             raise ConnectionResetError(message.error)
+        self.liveness = message.liveness
         return b''
 
     async def close(self) -> None:
@@ -121,30 +142,30 @@
     """Serve the peer's end of a tunnel; entering `connect` raises TunnelFailed."""
     request = await stream.recv_message()
     try:
-        async with connect(request) as (reader, writer):
-            await _carry(stream, reader, writer)
+        async with connect(request) as connection:
+            await _carry(stream, connection)
     except TunnelFailed as failure:
         await stream.send_message(failure.reply)
 
 
-async def _carry(stream, reader: EngineReader, writer: asyncio.StreamWriter) -> None:
+async def _carry(stream, connection: Connection) -> None:
     """Pass bytes on in both directions until the connection to the engine ends."""
-    sending = asyncio.create_task(_send_to_engine(stream, writer))
+    sending = asyncio.create_task(_send_to_engine(stream, connection.writer))
     try:
         await stream.send_message(TunnelReply())
-        await stream.send_message(await _send_to_box(stream, reader))
+        await stream.send_message(await _send_to_box(stream, connection))
     finally:
         sending.cancel()
 
 
-async def _send_to_box(stream, reader: EngineReader) -> TunnelEnd:
+async def _send_to_box(stream, connection: Connection) -> TunnelEnd:
     """Pass the engine's bytes on to the box; return how its connection ended."""
     try:
-        while data := await reader.read(READ_BYTES):
+        while data := await connection.reader.read(READ_BYTES):
             await stream.send_message(TunnelData(data))
     except OSError as error:
         return TunnelEnd(f'the connection to the engine broke: {error}')
-    return TunnelEnd('')
+    return TunnelEnd('', await connection.find_liveness())
 
 
 async def _send_to_engine(stream, writer: asyncio.StreamWriter) -> None:
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -41,7 +41,7 @@
     Verdict,
     whole_body,
 )
-from ..probing import Life, find_life, life_at, refuses_connections, was_refused
+from ..probing import Life, life_at, refuses_connections, was_refused
 from .engine_access import EngineAccess
 from .events import EventCheck
 from .tunnel_socket import TunnelSocket
@@ -83,6 +83,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EACH_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX),
 )
+#: What a carrier found out about a server's process, and not only tried to.
+KNOWN_LIVENESS = frozenset({Life.ALIVE, Life.ENDED})
 CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, HTTPException, OSError, ValueError)
 TIMEOUT_ERRORS = (TimeoutError, urllib3.exceptions.TimeoutError)
 
@@ -97,10 +99,10 @@
         response,
         deadline: float,
         clock: Callable[[], float],
-        confirm: Callable[[Framing, str], None],
+        confirm: Callable[[Framing], None],
     ):
         self._connection = connection
-        #: Called at the end of the bytes, with framing and carrier; raises AttemptFailed.
+        #: Called at the end of the bytes, with the framing; raises AttemptFailed.
         self._confirm = confirm
         self._clock = clock
         self._response = response
@@ -132,7 +134,7 @@
             raise AttemptFailed(
                 Outcome.BROKEN, AnswerCut(f'the answer was cut: {error}')
             ) from error
-        self._confirm(self.framing, self.carrier)
+        self._confirm(self.framing)
 
     def _read(self) -> bytes:
         left = self._deadline - self._clock()
@@ -197,8 +199,8 @@
             connection.close()
             raise
 
-        def confirm(framing: Framing, carrier: str) -> None:
-            confirm_end(framing, cancellation, lambda: self._life_of(placed, carrier))
+        def confirm(framing: Framing) -> None:
+            confirm_end(framing, cancellation, lambda: self._life_of(placed, connected))
 
         answer = BackendAnswer(connection, connected, response, deadline, self._clock, confirm)
         try:
@@ -338,13 +340,19 @@
             return False
         return self._access is None or self._access.reaches_others(placed.engine)
 
-    def _life_of(self, placed: Placed, carrier: str) -> Life:
-        """Return whether the server's process is alive, asked as this box reaches it now."""
-        tunnels, access = self._tunnels, self._access
-        cut_off = carrier or (access is not None and access.is_cut_off(placed.engine))
-        if tunnels is None or not cut_off:
-            return life_at(placed.address)
-        return find_life(lambda: _carried(tunnels, placed))
+    def _life_of(self, placed: Placed, connected: socket.socket | TunnelSocket) -> Life:
+        """Return whether the server's process is alive.
+
+        The peer that carried the connection found out at its end.  Otherwise this box does, and
+        if it does not reach the server, its peers do.
+        """
+        if isinstance(connected, TunnelSocket) and connected.liveness in KNOWN_LIVENESS:
+            return Life(connected.liveness)
+        cut_off = self._access is not None and self._access.is_cut_off(placed.engine)
+        life = Life.UNKNOWN if cut_off else life_at(placed.address)
+        if life is Life.UNKNOWN and self._tunnels is not None:
+            return self._tunnels.find_liveness(placed)
+        return life
 
     def close(self) -> None:
         """Do nothing: no connection is kept between attempts."""
@@ -355,17 +363,6 @@
     return AttemptFailed(Outcome.NOT_SENT, unreachable, connection_refused=refused)
 
 
-def _carried(tunnels: Tunnels, placed: Placed) -> TunnelSocket:
-    """Return a connection through a peer; raises OSError, ConnectionRefusedError if refused."""
-    try:
-        carried = tunnels.open(placed)
-    except EngineNotReached as error:
-        raise (ConnectionRefusedError if error.refused else TimeoutError)(str(error)) from error
-    if carried is None:
-        raise TimeoutError('no peer carries a connection')
-    return carried
-
-
 def _abort(connection: socket.socket) -> None:
     """Shut a connection down, which wakes the thread that reads from it."""
     try:
--- a/packages/router/seamhold/forwarding/carrier.py
+++ b/packages/router/seamhold/forwarding/carrier.py
@@ -1,16 +1,25 @@
 """Connects to engines for peers that cannot reach them."""
 
 import asyncio
+import functools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 from seamhold_messages.errors import SeamholdError
-from seamhold_peers import TunnelFailed, TunnelReply, TunnelRequest
+from seamhold_messages.fleet import Engine
+from seamhold_peers import (
+    LivenessQuery,
+    LivenessReply,
+    TunnelFailed,
+    TunnelReply,
+    TunnelRequest,
+)
 from seamhold_peers.engine_connection import connect_to_engine
 from seamhold_peers.tunnel import Connection
 
 from ..gate import Gate
 from ..metrics import Metrics
+from ..probing import life_at
 from .backends import CONNECT_SECONDS, SOCKET_OPTIONS
 from .engine_access import EngineAccess
 
@@ -19,7 +28,11 @@
 
 
 class Carrier:
-    """Opens connections to listed engines, and counts each as a call in progress."""
+    """Opens connections to listed engines, and counts each as a call in progress.
+
+    At the end of a connection it finds out whether the engine is alive, also while this box stops:
+    the box that asked may reach nobody else who could.
+    """
 
     def __init__(self, access: EngineAccess, gate: Gate, metrics: Metrics):
         self._access = access
@@ -34,18 +47,29 @@
         except SeamholdError as error:
             raise TunnelFailed(TunnelReply(error.detail)) from error
         try:
-            reader, writer = await self._connect(request)
+            connection = await self._connect(request)
             self._metrics.count('tunnels.carried')
             try:
-                yield reader, writer
+                yield connection
             finally:
-                writer.close()
+                connection.writer.close()
         finally:
             self._gate.leave()
 
+    async def find_liveness(self, query: LivenessQuery) -> LivenessReply:
+        """Find out whether an engine is alive, as far as this box reaches it."""
+        engine = self._listed(query.engine, query.incarnation)
+        if engine is None or self._access.is_cut_off(engine.name):
+            return LivenessReply()
+        return LivenessReply(await _liveness_at(engine.address))
+
+    def _listed(self, name: str, incarnation: str) -> Engine | None:
+        engine = self._access.engine(name)
+        return engine if engine is not None and engine.incarnation == incarnation else None
+
     async def _connect(self, request: TunnelRequest) -> Connection:
-        engine = self._access.engine(request.engine)
-        if engine is None or engine.incarnation != request.incarnation:
+        engine = self._listed(request.engine, request.incarnation)
+        if engine is None:
             raise TunnelFailed(NOT_LISTED)
         if self._access.is_cut_off(engine.name):
             raise TunnelFailed(CUT_OFF)
@@ -62,4 +86,8 @@
         connected = writer.get_extra_info('socket')
         for level, option, value in SOCKET_OPTIONS:
             connected.setsockopt(level, option, value)
-        return reader, writer
+        return Connection(reader, writer, functools.partial(_liveness_at, engine.address))
+
+
+async def _liveness_at(address: str) -> str:
+    return await asyncio.to_thread(life_at, address)
--- a/packages/router/seamhold/forwarding/peer_handler.py
+++ b/packages/router/seamhold/forwarding/peer_handler.py
@@ -15,6 +15,8 @@
     AnswerPart,
     ClaimRequest,
     FleetLists,
+    LivenessQuery,
+    LivenessReply,
     RelayedCall,
     StreamQuery,
     StreamReply,
@@ -74,6 +76,10 @@
         """Connect to an engine for a peer; raises TunnelFailed."""
         return self._carrier.connect(request)
 
+    async def find_liveness(self, query: LivenessQuery) -> LivenessReply:
+        """Find out whether an engine is alive, also while this box stops."""
+        return await self._carrier.find_liveness(query)
+
     async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
         """Keep records of streams that began at a peer."""
         self._origins.keep(records)
--- a/packages/router/seamhold/forwarding/tunnel_socket.py
+++ b/packages/router/seamhold/forwarding/tunnel_socket.py
@@ -32,6 +32,11 @@
         self._files = 0
         self._receiving = self._loop.create_task(self._receive())
 
+    @property
+    def liveness(self) -> str:
+        """Whether the engine was alive as it ended, as the carrier found; '' if not checked."""
+        return self._tunnel.liveness
+
     # On the loop.
 
     async def _receive(self) -> None:
--- a/packages/router/seamhold/forwarding/tunnels.py
+++ b/packages/router/seamhold/forwarding/tunnels.py
@@ -1,16 +1,18 @@
 """Connections to engines through a peer, while this box's own links to them are cut."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
 from seamhold_messages.work import Placed
-from seamhold_peers import PeerClient, TunnelFailed, TunnelRequest
-from seamhold_peers.client import PEER_ERRORS
+from seamhold_peers import LivenessQuery, PeerClient, TunnelFailed, TunnelRequest
+from seamhold_peers.client import FIND_LIVENESS_SECONDS, PEER_ERRORS
 
 from ..decider import Decider
 from ..logs import logger
 from ..metrics import Metrics
 from ..peering import Peering
+from ..probing import Life
 from .tunnel_socket import TunnelSocket
 
 #: Limit on a peer's reply, in seconds: its own limit on connecting and a few round trips.
@@ -75,6 +77,20 @@
                 return tunnel
         return None
 
+    def find_liveness(self, placed: Placed) -> Life:
+        """Ask some peers whether an engine is alive; UNKNOWN if none of them knows."""
+        query = LivenessQuery(placed.engine, placed.incarnation)
+        clients = [client for _, client in self._carriers()]
+        asking = self._peering.submit(_first_known(clients, query))
+        try:
+            liveness = asking.result(FIND_LIVENESS_SECONDS + SLACK_SECONDS)
+        except TimeoutError:
+            asking.cancel()
+            liveness = Life.UNKNOWN
+        if liveness is Life.UNKNOWN:
+            self._log.info('liveness.unknown', engine=placed.engine, peers=len(clients))
+        return liveness
+
     def _carriers(self) -> list[tuple[str, PeerClient]]:
         """Return some live peers, in the order in which to ask them: near ones, any of them."""
         now = self._clock()
@@ -93,3 +109,21 @@
 
 async def _open(box: str, client: PeerClient, request: TunnelRequest) -> TunnelSocket:
     return TunnelSocket(await client.open_tunnel(request, TUNNEL_SECONDS), box)
+
+
+async def _first_known(clients: list[PeerClient], query: LivenessQuery) -> Life:
+    """Ask all of these peers at once, and return the first answer that tells something."""
+    for reply in asyncio.as_completed([_ask(client, query) for client in clients]):
+        liveness = await reply
+        if liveness is not Life.UNKNOWN:
+            return liveness
+    return Life.UNKNOWN
+
+
+async def _ask(client: PeerClient, query: LivenessQuery) -> Life:
+    try:
+        reply = await client.find_liveness(query)
+        return Life(reply.liveness or Life.UNKNOWN)
+    except (ValueError, *PEER_ERRORS):
+        # A peer that cannot tell is as one that was not asked.
+        return Life.UNKNOWN
--- a/packages/router/seamhold/peer_handler.py
+++ b/packages/router/seamhold/peer_handler.py
@@ -15,6 +15,8 @@
     AnswerPart,
     ClaimRequest,
     FleetLists,
+    LivenessQuery,
+    LivenessReply,
     RelayedCall,
     StreamQuery,
     StreamReply,
@@ -83,6 +85,10 @@
         raise TunnelFailed(TunnelReply('this box carries no connections'))
         yield
 
+    async def find_liveness(self, query: LivenessQuery) -> LivenessReply:
+        """Return that nothing is known: boxes of this dialect reach engines directly."""
+        return LivenessReply()
+
     async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
         """Keep nothing: callers of this dialect cannot take up a stream."""
 
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -10,6 +10,7 @@
 from seamhold_peers import PeerClient, PeerServer, TunnelRequest
 from seamhold_peers.client import PEER_ERRORS
 from seamhold_peers.engine_connection import connect_to_engine
+from seamhold_peers.tunnel import Connection
 
 HOST = '127.0.0.1'
 #: Time for what an engine does to reach the carrier, in seconds.
@@ -40,7 +41,7 @@
         reader, writer = await connect_to_engine(HOST, self.port)
         self._connection, _ = self._listener.accept()
         try:
-            yield reader, writer
+            yield Connection(reader, writer)
         finally:
             writer.close()
 
@@ -66,7 +67,7 @@
     def run_with(self, scenario) -> None:
         async def run() -> None:
             engine = Engine()
-            async with engine.carry() as (reader, writer):
+            async with engine.carry() as (reader, writer, _):
                 await scenario(engine, reader, writer)
             engine.close()
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -9,7 +9,7 @@
 from seamhold_peers import PeerClient, PeerServer, TunnelFailed, TunnelReply, TunnelRequest
 from seamhold_peers.client import PEER_ERRORS
 from seamhold_peers.engine_connection import EngineReader
-from seamhold_peers.tunnel import Tunnel, TunnelData, TunnelEnd
+from seamhold_peers.tunnel import Connection, Tunnel, TunnelData, TunnelEnd
 
 HOST = '127.0.0.1'
 REQUEST = TunnelRequest('i-1', '')
@@ -37,10 +37,15 @@
         elif self._parts:
             reader.feed_eof()
         try:
-            yield reader, self
+            writer: Any = self
+            yield Connection(reader, writer, self.find_liveness)
         finally:
             self.closed.set()
 
+    @staticmethod
+    async def find_liveness() -> str:
+        return 'alive'
+
     def write(self, data: bytes) -> None:
         """Take the box's bytes."""
 
@@ -72,7 +77,9 @@
         async def scenario(_, client):
             tunnel = await client.open_tunnel(REQUEST, OPEN_SECONDS)
             self.assertEqual(b'whole', await tunnel.receive())
+            self.assertEqual('', tunnel.liveness)
             self.assertEqual(b'', await tunnel.receive())
+            self.assertEqual('alive', tunnel.liveness)
             await tunnel.close()
 
         self.run_with({'parts': (b'whole',)}, scenario)
