Read answers' heads and chunks only as HTTP defines them

Callers of plain routes got 200 and half of a body as the whole: a server, or a device before it, sent a head with a line without a colon, a space before a colon or a carriage return inside a value, and closed its connection after half of the body. With the whole body and an open connection they got 504 at their deadline. An interim answer 102 or 103 was passed on as the answer.

Cause: the library's parser stops at a line that it cannot read and takes the rest of the head for the body, so the length or coding behind it is lost and the end of the connection counts as the end of the answer. Its class: what cannot be read is passed over, and the decision is made without it.

Each line of a head, each chunk's line and each trailer is checked now, for servers of both protocols, the store and queries of holdings; anything else is answer_unreadable (502, may have run), at once. So are a length that is not digits, a chunk that is longer than its line says, a cut chunk line ("0" of "00a" was a last chunk) and cut trailers.

Ruled out: that a head that is only cut is read as whole; IncompleteRead stood for that before.

--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -268,6 +268,14 @@
     code = 'answer_end_unproven'
 
 
+class AnswerUnreadable(SeamholdError):
+    """A line of the answer's head, or between its chunks, is not as HTTP defines it."""
+
+    code = 'answer_unreadable'
+    status = 502
+    ran = Ran.UNKNOWN
+
+
 class AnswerMismatch(SeamholdError):
     """The engine answered with the id of another request."""
 
--- a/packages/platform/seamhold_platform/bounded_socket.py
+++ b/packages/platform/seamhold_platform/bounded_socket.py
@@ -7,13 +7,14 @@
 import io
 import math
 from collections.abc import Callable
-from http.client import HTTPResponse, IncompleteRead
 from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
+from .strict_response import StrictResponse
+
 #: The socket's timeout is set again once the time left falls below this share of it: a system
 #: call per read would cost more than a deadline that is late by 5 %.
 TIMEOUT_REUSE_SHARE = 0.95
@@ -80,8 +81,6 @@
     def __init__(self, raw: io.RawIOBase, bounds: BoundedSocket):
         self._raw = raw
         self._bounds = bounds
-        #: Whether the peer has ended the connection.
-        self.ended = False
 
     def readable(self) -> bool:
         """Tell the buffered reader that this file can be read."""
@@ -91,7 +90,6 @@
         """Read into a buffer; raises OSError or AnswerTooLong."""
         self._bounds.before_read()
         received = self._raw.readinto(buffer)
-        self.ended = received == 0
         self._bounds.count(received or 0)
         return received
 
@@ -102,27 +100,13 @@
             self._raw.close()
 
 
-class WholeHeadResponse(HTTPResponse):
-    """A response on a BoundedSocket that fails if its connection ends within its head.
-
-    The base class takes that end for the blank line that ends the head.
-    """
-
-    def begin(self) -> None:
-        """Read the head; raises IncompleteRead if it is cut."""
-        super().begin()
-        raw: Any = self.fp.raw
-        if raw.ended:
-            raise IncompleteRead(b'')
-
-
 def bounded_pools(
     clock: Callable[[], float], max_bytes: float, **options: Any
 ) -> urllib3.PoolManager:
     """Return connection pools that read each answer within its timeout and `max_bytes`."""
 
     class Connection(HTTPConnection):
-        response_class = WholeHeadResponse
+        response_class = StrictResponse
 
         def connect(self) -> None:
             super().connect()
--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -10,6 +10,7 @@
     AnswerCut,
     AnswerMismatch,
     AnswerTimeout,
+    AnswerUnreadable,
     EngineFailed,
     EngineRefused,
     EngineUnreachable,
@@ -19,7 +20,7 @@
 
 from .answer_ends import confirm_end
 from .clock import boot_seconds
-from .framing import Framing, framing_of
+from .framing import Framing, framing_of, is_readable, unreadable_answer
 from .ports import AttemptFailed, Cancellation, EngineLoad, EngineRequest, whole_body
 from .probing import life_at, refuses_connections, was_refused
 from .streams import EventStreamCheck
@@ -56,6 +57,7 @@
         self.leaving = False
         self.brittle = False
         self.framing = framing_of(response)
+        self.readable = is_readable(response)
         self.carrier = ''
 
     def chunks(self) -> Iterator[bytes]:
@@ -66,9 +68,8 @@
         except urllib3.exceptions.ReadTimeoutError as error:
             raise AttemptFailed(Outcome.BROKEN, AnswerTimeout('the answer stalled')) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise AttemptFailed(
-                Outcome.BROKEN, AnswerCut(f'the answer was cut: {error}')
-            ) from error
+            cut = AnswerCut(f'the answer was cut: {error}')
+            raise AttemptFailed(Outcome.BROKEN, unreadable_answer(error) or cut) from error
         if not self.headers.get('Content-Type', '').startswith(STREAM_TYPE):
             self._confirm(self.framing)
 
@@ -148,7 +149,8 @@
             return AttemptFailed(Outcome.NOT_SENT, unreachable, connection_refused=refused)
         if isinstance(error, urllib3.exceptions.TimeoutError):
             return AttemptFailed(Outcome.FAILED, AnswerTimeout('no answer before the deadline'))
-        return AttemptFailed(Outcome.FAILED, EngineFailed('the connection broke'))
+        failed = unreadable_answer(error) or EngineFailed('the connection broke')
+        return AttemptFailed(Outcome.FAILED, failed)
 
     @staticmethod
     def _set_stall_timeout(response, remaining: float) -> None:
@@ -177,6 +179,9 @@
         if headers.get(REQUEST_ID_HEADER) != request.request_id and status < 400:
             mismatch = AnswerMismatch('the answer carries the id of another request')
             return AttemptFailed(Outcome.FAILED, mismatch)
+        if not answer.readable:
+            unreadable = AnswerUnreadable('the length or coding of the body cannot be read')
+            return AttemptFailed(Outcome.FAILED, unreadable)
         if request.resume_after and headers.get(RESUME_HEADER) != request.resume_after:
             return AttemptFailed(Outcome.FAILED, AnswerCut('the engine did not resume the stream'))
         return None
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -19,17 +19,18 @@
     AnswerCut,
     AnswerMismatch,
     AnswerTimeout,
+    AnswerUnreadable,
     EngineFailed,
     EngineMisdirected,
     EngineRefused,
     EngineUnreachable,
 )
 from seamhold_messages.work import Placed
-from seamhold_platform import BoundedSocket, WholeHeadResponse
+from seamhold_platform import BoundedSocket, StrictResponse
 
 from ..answer_ends import confirm_end
 from ..clock import boot_seconds
-from ..framing import Framing, framing_of, is_readable
+from ..framing import Framing, framing_of, is_readable, unreadable_answer
 from ..ports import (
     Answer,
     AttemptFailed,
@@ -131,9 +132,8 @@
                 Outcome.BROKEN, AnswerTimeout('the deadline passed during the answer')
             ) from error
         except CONNECTION_ERRORS as error:
-            raise AttemptFailed(
-                Outcome.BROKEN, AnswerCut(f'the answer was cut: {error}')
-            ) from error
+            cut = AnswerCut(f'the answer was cut: {error}')
+            raise AttemptFailed(Outcome.BROKEN, unreadable_answer(error) or cut) from error
         self._confirm(self.framing)
 
     def _read(self) -> bytes:
@@ -258,7 +258,7 @@
         connection.timeout = remaining
         bounded = BoundedSocket(connection.sock, self._clock)
         connection.sock = bounded
-        connection.response_class = WholeHeadResponse
+        connection.response_class = StrictResponse
         bounded.settimeout(remaining)
         bounded.limit(deadline, HEAD_MAX_BYTES)
         metadata = AttemptMetadata(
@@ -289,7 +289,7 @@
             ) from error
         except CONNECTION_ERRORS as error:
             failed = EngineFailed(f'the connection broke: {error}')
-            raise AttemptFailed(Outcome.FAILED, failed) from error
+            raise AttemptFailed(Outcome.FAILED, unreadable_answer(error) or failed) from error
 
     def _check(self, answer: BackendAnswer, request: EngineRequest) -> None:
         """Raise AttemptFailed unless the answer may be passed on to the caller."""
@@ -327,7 +327,7 @@
             mismatch = AnswerMismatch(f'the {answer.status} answer is not for this request')
             raise AttemptFailed(Outcome.FAILED, mismatch)
         if not answer.readable:
-            unreadable = EngineFailed('the length or coding of the body cannot be read')
+            unreadable = AnswerUnreadable('the length or coding of the body cannot be read')
             raise AttemptFailed(Outcome.FAILED, unreadable)
         if answer.status >= 500:
             own = Answer(answer.status, dict(answer.headers), answer.whole(FAILURE_MAX_BYTES))
--- a/packages/router/seamhold/framing.py
+++ b/packages/router/seamhold/framing.py
@@ -1,9 +1,15 @@
 """How the end of an answer's body is marked in HTTP/1.1."""
 
+import re
 from enum import StrEnum
 
 import urllib3
 
+from seamhold_messages.errors import AnswerUnreadable
+from seamhold_platform import UnreadableResponse
+
+from .causes import caused_by
+
 
 class Framing(StrEnum):
     """What marks the end of a body: its length, its last chunk, or the end of its connection."""
@@ -15,6 +21,8 @@
 
 #: Transfer codings that a body can be read with.
 READABLE_CODINGS = frozenset({'', 'identity', 'chunked'})
+#: A length, which may be repeated; the library takes more than digits for a number.
+LENGTHS = re.compile(r'[0-9]+(?:, *[0-9]+)*')
 
 
 def framing_of(response: urllib3.BaseHTTPResponse) -> Framing:
@@ -32,5 +40,10 @@
     # With a space around it, http.client does not know the coding.
     if response.headers.get('Transfer-Encoding', '').lower() not in READABLE_CODINGS:
         return False
-    has_length = 'Content-Length' in response.headers and not response.chunked
-    return not has_length or response.length_remaining is not None
+    length = response.headers.get('Content-Length')
+    return length is None or response.chunked or LENGTHS.fullmatch(length) is not None
+
+
+def unreadable_answer(error: Exception) -> AnswerUnreadable | None:
+    """Return the error of an answer that is not as HTTP defines it, None for any other error."""
+    return AnswerUnreadable(str(error)) if caused_by(error, UnreadableResponse) else None
--- a/packages/router/seamhold/probing.py
+++ b/packages/router/seamhold/probing.py
@@ -6,6 +6,8 @@
 from enum import Enum, StrEnum, auto
 from typing import Protocol
 
+from .causes import caused_by
+
 #: Connect timeout, in seconds.  A running server accepts within a few round trips, and a
 #: machine whose process ended refuses as fast; a timeout shows neither.
 PROBE_SECONDS = 0.1
@@ -107,8 +109,5 @@
 
 
 def was_refused(error: BaseException) -> bool:
-    """Whether a connection was refused; libraries wrap that error, so check its causes."""
-    cause: BaseException | None = error
-    while cause is not None and not isinstance(cause, ConnectionRefusedError):
-        cause = cause.__cause__
-    return cause is not None
+    """Whether a connection was refused."""
+    return caused_by(error, ConnectionRefusedError)
