Refuse requests that cannot be sent on, before a server is blamed for them

A caller could make sound servers look broken: a control character in a target or a method, a carriage return in a header's value or a name that is no token reached the client library, which refused to send it. The caller got 502, "may have run", and the attempt counted as the server's failure, with a look at its port; ten such requests of one workspace made ten failures for all others. Names that are no tokens and NUL were sent on. A chunk of size -1 ended a body, 0x3 and 0_3 were sizes, which invites smuggling behind another reader.

Cause: the class of the unreadable answers, on the callers' side: cheroot's reader passes over what it cannot place. Request lines, header lines, chunk lines and trailers are checked against RFC 9112 now and refused with 400, not run.

--- a/packages/platform/seamhold_platform/strict_response.py
+++ b/packages/platform/seamhold_platform/strict_response.py
@@ -4,16 +4,12 @@
 head for the body: what was to frame the body is then missing.
 """
 
-import re
 from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any
 
-STATUS_LINE = re.compile(rb'HTTP/1\.\d [1-9]\d\d(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n')
-FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r?\n")
-CHUNK_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?\r?\n')
-CHUNK_END = b'\r\n'
-BLANK_LINES = frozenset({b'\r\n', b'\n'})
+from .http_lines import BLANK_LINES, CHUNK_LINE, CRLF, FIELD_LINE, STATUS_LINE
+
 #: Limit on the line of a chunk or trailer, in bytes.
 LINE_MAX_BYTES = 65_536
 
@@ -51,7 +47,7 @@
         """Return the unread bytes of a chunk, after reading its line; None after the last one."""
         if self.chunk_left:
             return self.chunk_left
-        if self.chunk_left == 0 and self._safe_read(len(CHUNK_END)) != CHUNK_END:
+        if self.chunk_left == 0 and self._safe_read(len(CRLF)) != CRLF:
             raise UnreadableResponse('a chunk is longer than its line says')
         size = CHUNK_LINE.fullmatch(self._framing_line())
         if size is None:
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -39,6 +39,7 @@
 from ..stream_origins import StreamOrigins
 from .caller_watch import CallerWatch, has_left, is_readable
 from .calls import RoutedRequest, can_be_taken_up, find_route, follow_origin, prepare, seconds_left
+from .chunk_lines import ChunkLines
 from .heads import HOP_BY_HOP, RequestHead, StrictHeaderReader, read_head
 from .read_deadlines import ReadDeadlines, ReadLimit
 from .response_buffers import ResponseBuffers, ResponseWriter
@@ -427,12 +428,12 @@
 
 
 def _limit_chunks(request: HTTPRequest, max_bytes: int) -> None:
-    """Limit the bytes of a chunked body with its chunk lines and trailers.
+    """Limit the bytes of a chunked body with its chunk lines and trailers, and check these.
 
     Without a limit cheroot reads a chunk of any size, and a line of any length, into memory.
     """
     request.rfile.maxlen = max_bytes
-    request.rfile.rfile = SizeCheckWrapper(request.rfile.rfile, max_bytes)
+    request.rfile.rfile = ChunkLines(SizeCheckWrapper(request.rfile.rfile, max_bytes))
 
 
 class ForwardingRequest(HTTPRequest):
--- a/packages/router/seamhold/forwarding/heads.py
+++ b/packages/router/seamhold/forwarding/heads.py
@@ -2,13 +2,15 @@
 
 Two servers that disagree on where a request ends allow request smuggling (RFC 9112,
 11.2).  Folded lines, repeated lengths, and a length together with a transfer coding are
-therefore refused, although cheroot accepts them.
+therefore refused, although cheroot accepts them.  So is what could not be sent on to a backend
+server, which would count as the server's failure.
 """
 
 from cheroot.server import HeaderReader, HTTPRequest
 from msgspec import Struct
 
 from seamhold_messages.errors import BadRequest
+from seamhold_platform.http_lines import BLANK_LINES, FIELD_LINE, METHOD, TARGET
 
 #: Headers that may occur only once in a head.
 UNIQUE_HEADERS = frozenset({b'content-length', b'transfer-encoding', b'host'})
@@ -16,6 +18,7 @@
 TRANSFER_ENCODING = b'Transfer-Encoding'
 CHUNKED = b'chunked'
 FOLD_STARTS = (b' ', b'\t')
+PROTOCOLS = frozenset({b'HTTP/1.0', b'HTTP/1.1'})
 
 #: Hop-by-hop headers, which are never forwarded (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -68,6 +71,8 @@
         name = line.partition(b':')[0].lower()
         if name != name.strip() and line.strip():
             raise ValueError('Whitespace around a header name is not accepted.')
+        if line not in BLANK_LINES and not FIELD_LINE.fullmatch(line):
+            raise ValueError('A header line is not as RFC 9112 defines it.')
         if name in UNIQUE_HEADERS:
             if name in self._seen:
                 raise ValueError(f'{name.decode()} may occur only once.')
@@ -93,10 +98,14 @@
 
 
 def read_head(request: HTTPRequest) -> RequestHead:
-    """Return the head that cheroot has read; raises BadRequest if the target is no path."""
-    target = request.uri.decode('latin-1')
-    if not target.startswith('/'):
-        raise BadRequest('the target must be a path')
+    """Return the head that cheroot has read; raises BadRequest unless it can be sent on."""
+    if not TARGET.fullmatch(request.uri):
+        raise BadRequest('the target must be a path of visible ASCII characters')
+    if not METHOD.fullmatch(request.method):
+        raise BadRequest('the method must be a token')
+    if request.request_protocol not in PROTOCOLS:
+        raise BadRequest('the protocol must be HTTP/1.0 or HTTP/1.1')
+    target = request.uri.decode('ascii')
     headers = {
         name.decode('latin-1'): value.decode('latin-1') for name, value in request.inheaders.items()
     }
