Refuse requests whose bodies still arrive as a box ends

In the first half of the drain limit bodies may still arrive and are served; at its middle the box ends all reads and answers 503, not run, with a Retry-After. The second half is left to run what arrived. Ruled out: refusing at the gate's close (bodies that are nearly there would have to be sent again), and reading to the end (the call would be cut as it runs, and may have run).

--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -75,6 +75,8 @@
 LOG_DRAIN_SECONDS = 0.2
 #: Idle connections are closed this long before the end of the drain grace, in seconds.
 IDLE_CLOSE_SECONDS = 0.8
+#: The share of the drain limit in which requests may still arrive; the rest is left to run them.
+READING_SHARE = 0.5
 
 
 class Order(StrEnum):
@@ -362,13 +364,20 @@
         self.environment.sleep(closing)
         self.gate.close()
         self.decider.send(RefuseWaiting())
-        ends = self.environment.monotonic() + self.config.drain_limit
-        while not self._is_done() and self.environment.monotonic() < ends:
-            pass
+        self._drain(READING_SHARE * self.config.drain_limit)
+        # What arrives later would be cut as it runs.
+        self.entry.read_deadlines.end_all()
+        self._drain((1 - READING_SHARE) * self.config.drain_limit)
         cut = self.gate.active
         self._log.info('box.stopped', calls_cut=cut)
         return cut
 
+    def _drain(self, seconds: float) -> None:
+        """Wait at most `seconds` until no call is in progress."""
+        ends = self.environment.monotonic() + seconds
+        while not self._is_done() and self.environment.monotonic() < ends:
+            pass
+
     def _is_done(self) -> bool:
         """Whether no call is in progress and no response is left to send; waits POLL_SECONDS."""
         if not self.gate.wait_empty(POLL_SECONDS):
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -28,7 +28,7 @@
 
 from ..config import split_address
 from ..context import Environment
-from ..gate import Gate
+from ..gate import Gate, stopping
 from ..job import Job
 from ..listening import ACCEPT_QUEUE, SHUTDOWN_SECONDS
 from ..logs import logger
@@ -197,13 +197,18 @@
     def _read_body_in_time(
         self, request: HTTPRequest, head: RequestHead, found: RoutedRequest
     ) -> bytes:
-        """Return the whole body; raises CallerTooSlow once the request could not be served."""
+        """Return the whole body; raises CallerTooSlow once the request could not be served.
+
+        Raises NotReady if the box stops before the body has arrived.
+        """
         with self.read_deadlines.limit(request.conn.socket, seconds_left(found)) as limit:
             try:
                 return self._read_body(request, head)
             except SeamholdError as error:
                 if not limit.passed:
                     raise
+                if self._gate.closed:
+                    raise stopping() from error
                 raise CallerTooSlow('the body was not received in time') from error
 
     def _read_body(self, request: HTTPRequest, head: RequestHead) -> bytes:
--- a/packages/router/seamhold/forwarding/read_deadlines.py
+++ b/packages/router/seamhold/forwarding/read_deadlines.py
@@ -48,6 +48,11 @@
         """Stop the checking thread."""
         self._stopped.set()
 
+    def end_all(self) -> None:
+        """End all reads now, as the box stops."""
+        with self._lock:
+            self._end(self._limits)
+
     @contextmanager
     def limit(self, connection: socket.socket, seconds: float) -> Iterator[ReadLimit]:
         """Limit the time of the reads within the context."""
@@ -64,8 +69,10 @@
         while not self._stopped.wait(CHECK_SECONDS):
             now = self._clock()
             with self._lock:
-                late = [limit for limit in self._limits if limit.ends_at <= now]
-                # Under the lock: the connection may serve the next request once its read ended.
-                for limit in late:
-                    limit.end()
-                self._limits.difference_update(late)
+                self._end({limit for limit in self._limits if limit.ends_at <= now})
+
+    def _end(self, limits: set[ReadLimit]) -> None:
+        # Under the lock: the connection may serve the next request once its read ended.
+        for limit in limits:
+            limit.end()
+        self._limits = self._limits - limits
--- a/packages/router/seamhold/gate.py
+++ b/packages/router/seamhold/gate.py
@@ -4,6 +4,13 @@
 
 from seamhold_messages.errors import BoxFull, NotReady
 
+RETRY_AFTER_SECONDS = 1.0
+
+
+def stopping() -> NotReady:
+    """Return the refusal of a box that stops."""
+    return NotReady('this box is stopping; retry at another box', RETRY_AFTER_SECONDS)
+
 
 class Gate:
     """Counts the calls in progress, up to `limit`, and refuses new ones once closed."""
@@ -25,9 +32,9 @@
         """Count a new call; raises BoxFull or NotReady."""
         with self._changed:
             if self.closed:
-                raise NotReady('this box is stopping; retry at another box', 1.0)
+                raise stopping()
             if self._active >= self.limit:
-                raise BoxFull('every thread of this box is serving a call', 1.0)
+                raise BoxFull('every thread of this box is serving a call', RETRY_AFTER_SECONDS)
             self._active += 1
 
     def leave(self) -> None:
