Keep what is valid of a tenant or route, and the keys that stand twice

Callers got 401 for keys that were in the configuration: a key that two tenants named was taken from both, a tenant whose name stood twice lost the keys of its first entry, and one odd field of a tenant (a rank that is no number) took all its keys. An odd field of a route (a negative time-out, a share without a usable weight) took its services: 404 for a route that is there.

A key of two tenants belongs to the first of them and a repeated tenant has the keys of all its entries, at every box; both are logged. A name that no header can carry has no keys, as requests would fail on the way to a server.

Ruled out: rejecting such versions (an older version would stay in force), and the tenant that had the key before (boxes that start later do not know it).

--- a/packages/messages/seamhold_messages/names.py
+++ b/packages/messages/seamhold_messages/names.py
@@ -11,6 +11,8 @@
 NAME_MAX_CHARS = 253
 #: What stands for text that could not be decoded.
 REPLACEMENT = '\ufffd'
+#: The last character that a header field can carry.
+LATIN_1_LAST = '\xff'
 
 _IDENTIFIER = re.compile(f'[!-~]{{1,{NAME_MAX_CHARS}}}')
 
@@ -25,6 +27,11 @@
     return 0 < len(text) <= NAME_MAX_CHARS and text.isprintable() and REPLACEMENT not in text
 
 
+def is_field_value(text: str) -> bool:
+    """Whether a text can be a header field's value as it is."""
+    return is_label(text) and text == text.strip() and max(text) <= LATIN_1_LAST
+
+
 def check_identifier(text: str) -> None:
     """Raise EntryUnsound unless a text is an identifier."""
     if not is_identifier(text):
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -13,6 +13,7 @@
 
 from seamhold_platform import ObjectKind, PlatformObject, WatchKind
 from seamhold_settings import Candidate, OfferResult
+from seamhold_settings.repeated_names import join_repeated
 from seamhold_settings.tree import TREE_OBJECT
 
 from ..clock import boot_seconds
@@ -52,6 +53,8 @@
 ALONE_POLL_SECONDS = 0.7
 ALONE_POLLS = 20
 STARTING_POLLS = 2
+#: Names that stand more than once in a configuration and are logged.
+LOGGED_NAMES_MAX = 10
 
 
 class StoreWatch:
@@ -190,7 +193,7 @@
             detail = item.unreadable or repr(error)
             self.log.warning('settings.unreadable', version=item.version, detail=detail)
             return
-        values['fleet'] = self._defaults | values.get('fleet', {})
+        values = self._joined(values, item.version)
         candidate = Candidate(TREE_OBJECT, revision, item.version, values)
         (result,) = self._settings_task.query(OfferSettings([candidate], 'platform')).result(
             OFFER_SECONDS
@@ -198,6 +201,14 @@
         if result is OfferResult.INVALID:
             self.log.error('settings.invalid', version=item.version)
 
+    def _joined(self, values: dict, version: str) -> dict:
+        """Return the values with each service and workspace once, and with the defaults."""
+        tree = join_repeated(values)
+        self.metrics.gauge('settings_names_repeated', len(tree.repeated))
+        for place in tree.repeated[:LOGGED_NAMES_MAX]:
+            self.log.warning('settings.name_repeated', version=version, place=place)
+        return tree.values | {'fleet': self._defaults | tree.values['fleet']}
+
 
 class ListSource(Struct, frozen=True):
     """Sources of the lists: the store while it serves this box, else other boxes."""
--- a/packages/router/seamhold/ports.py
+++ b/packages/router/seamhold/ports.py
@@ -406,7 +406,10 @@
         """Return a client of the platform's store."""
 
     def tree(self, item: PlatformObject) -> dict:
-        """Return the values of the complete settings tree in an object."""
+        """Return the values of the complete settings tree in an object.
+
+        Its services and workspaces are lists of pairs of a name and a value.
+        """
 
     def engine(self, item: PlatformObject) -> Engine:
         """Convert an object to a backend server."""
--- a/packages/settings/seamhold_settings/checking.py
+++ b/packages/settings/seamhold_settings/checking.py
@@ -37,17 +37,18 @@
     try:
         msgspec.convert(values, kind)
     except INVALID_ERRORS as error:
-        return [_line(path, error, values)]
+        return [problem_line(path, error, values)]
     return []
 
 
-def _line(path: str, error: Exception, value: object) -> str:
+def problem_line(path: str, error: Exception, value: object) -> str:
+    """Return one line that names the place, the rule and the value."""
     rule = str(error).partition(' - at ')[0]
     return f'{path or ROOT_LABEL}: {rule} (got {value!r:.{VALUE_MAX_CHARS}})'
 
 
 def _nested_problems(kind: object, values: object, path: str) -> list[str]:
-    kind = _base_type(kind)
+    kind = base_type(kind)
     if isinstance(values, dict) and isinstance(kind, type) and issubclass(kind, Struct):
         return _struct_problems(kind, values, path)
     if isinstance(values, dict) and get_origin(kind) is dict:
@@ -56,7 +57,7 @@
         (item,) = get_args(kind)
         entries = enumerate(values)
         return [
-            line for index, value in entries for line in problems(item, value, _join(path, index))
+            line for index, value in entries for line in problems(item, value, join(path, index))
         ]
     return []
 
@@ -66,30 +67,31 @@
     found = []
     for key, value in values.items():
         if key in types:
-            found += problems(types[key], value, _join(path, key))
+            found += problems(types[key], value, join(path, key))
         else:
-            found.append(f'{_join(path, key)}: no such key (got {value!r:.{VALUE_MAX_CHARS}})')
+            found.append(f'{join(path, key)}: no such key (got {value!r:.{VALUE_MAX_CHARS}})')
     return found
 
 
 def _dict_problems(key_kind: object, kind: object, values: dict, path: str) -> list[str]:
     found = []
     for key, value in values.items():
-        key_path = _join(path, key)
+        key_path = join(path, key)
         found += problems(key_kind, key, key_path)
         found += problems(kind, value, key_path)
     return found
 
 
-def _base_type(kind: object) -> object:
+def base_type(kind: object) -> object:
     """Return the type without its Annotated bounds and without `| None`."""
     if get_origin(kind) is Annotated:
-        return _base_type(get_args(kind)[0])
+        return base_type(get_args(kind)[0])
     if get_origin(kind) is UnionType:
         (kind,) = (part for part in get_args(kind) if part is not type(None))
-        return _base_type(kind)
+        return base_type(kind)
     return kind
 
 
-def _join(path: str, key: object) -> str:
+def join(path: str, key: object) -> str:
+    """Return the path of an entry."""
     return f'{path}.{key}' if path else str(key)
--- a/packages/settings/seamhold_settings/schema.py
+++ b/packages/settings/seamhold_settings/schema.py
@@ -14,6 +14,8 @@
 from msgspec import Meta, Struct
 
 Name = Annotated[str, Meta(pattern=r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?\Z')]
+#: A service that other programs name, as its entries in the list of engines do.
+ServiceName = Annotated[str, Meta(pattern=r'^[!-~]{1,253}\Z')]
 KeyHash = Annotated[str, Meta(pattern=r'^sha256:[0-9a-f]{64}\Z')]
 RouteName = Annotated[str, Meta(pattern=r'^[A-Za-z0-9/_.-]{1,128}\Z')]
 
@@ -89,7 +91,7 @@
 class ServiceShare(Strict):
     """A service and its share of a route's requests, relative to the route's other shares."""
 
-    service: Name
+    service: ServiceName
     weight: Annotated[float, Meta(ge=0, le=1_000_000)] = 1.0
 
 
@@ -215,7 +217,7 @@
     policy: Policy = Policy()
     placement: Placement = Placement()
     control: Control = Control()
-    services: dict[Name, FleetService] = {}
+    services: dict[ServiceName, FleetService] = {}
     forwarding: list[ForwardedRoute] = []
     caller_bounds: CallerBounds = CallerBounds()
 
--- a/packages/settings/seamhold_settings/valid_items.py
+++ b/packages/settings/seamhold_settings/valid_items.py
@@ -1,28 +1,36 @@
-"""Leaves out the invalid items of a complete tree, so that each costs only itself.
+"""Leaves out what is invalid of a complete tree, so that each odd value costs only itself.
 
-Other programs write complete trees.  Whatever one item holds, the others become active.
+Other programs write complete trees.  Whatever one item holds, the others become active, and so
+does what is valid of the item.
 """
 
 from collections.abc import Iterable, Iterator
 
 from msgspec import Struct
 
-from seamhold_messages.errors import SettingsInvalid
+from seamhold_messages.names import is_field_value
 
-from .checking import check
-from .schema import CallerBounds, FleetService, ForwardedRoute, Name, WorkspaceSpec
+from .schema import (
+    CallerBounds,
+    FleetService,
+    ForwardedRoute,
+    ServiceName,
+    ServiceShare,
+    WorkspaceSpec,
+)
+from .valid_parts import NothingValid, is_valid, valid_part
 
 NO_MAPPING = 'is no mapping'
 NO_LIST = 'is no list'
 #: The shares of a route whose requests no service gets.
 NO_SERVICE = [{'service': 'none', 'weight': 0}]
+#: What a route does if its own value is invalid: the default of a field that limits how often
+#: a request runs could allow more than the operators do.
+CAUTIOUS_POLICY = {'retries': 0, 'repeatable': False, 'resumable': False}
 
 
 class ValidItems(Struct, frozen=True):
-    """The values of a tree without its invalid items, and one problem for each of these.
-
-    A problem names the item that was left out and the error.
-    """
+    """The values of a tree without what is invalid, and one problem for each of these parts."""
 
     values: dict
     problems: tuple[str, ...] = ()
@@ -31,58 +39,105 @@
 def valid_items(values: dict) -> ValidItems:
     """Return a tree's values without invalid services, routes, bounds of callers and workspaces.
 
-    An invalid workspace stays without its keys: while there are workspaces, callers need a key.
-    An invalid route stays without services where its host and prefix are valid: its requests must
-    not go to the route of a shorter prefix.
+    A key that several workspaces list belongs to the first of them, at every box.
+
+    An item without a valid value keeps its place: a workspace stays without keys, as callers need
+    a key while there are workspaces, and a route without services, as its requests must not go to
+    the route of a shorter prefix.
     """
     problems: list[str] = []
     fleet = dict(values.get('fleet') or {})
     services = _mapping(fleet.get('services'), 'fleet.services', problems)
     routes = _list(fleet.get('forwarding'), 'fleet.forwarding', problems)
     bounds = _mapping(fleet.get('caller_bounds'), 'fleet.caller_bounds', problems)
-    workspaces = _mapping(values.get('workspaces'), 'workspaces', problems)
-    valid_services = _valid(dict[Name, FleetService], services, 'fleet.services', problems)
-    valid_workspaces = _valid(dict[str, WorkspaceSpec], workspaces, 'workspaces', problems)
     fleet |= {
-        'services': dict(valid_services),
-        'forwarding': list(_valid_routes(routes, problems)),
-        'caller_bounds': dict(_valid(CallerBounds, bounds, 'fleet.caller_bounds', problems)),
+        'services': _services(services, problems),
+        'forwarding': list(_routes(routes, problems)),
+        'caller_bounds': valid_part(CallerBounds, bounds, 'fleet.caller_bounds', problems),
     }
-    keyless: dict[str, dict] = {str(name): {} for name in workspaces}
-    all_workspaces = keyless | dict(valid_workspaces)
-    return ValidItems(values | {'fleet': fleet, 'workspaces': all_workspaces}, tuple(problems))
-
-
-def _valid(
-    kind: type, values: dict, path: str, problems: list[str]
-) -> Iterator[tuple[object, object]]:
-    """Yield the entries that alone are a valid `kind`."""
-    for name, value in values.items():
-        if _is_valid(kind, {name: value}, path, problems):
-            yield name, value
-
-
-def _valid_routes(routes: Iterable[object], problems: list[str]) -> Iterator[object]:
+    workspaces = _mapping(values.get('workspaces'), 'workspaces', problems)
+    valid_workspaces = _workspaces(workspaces, problems)
+    return ValidItems(values | {'fleet': fleet, 'workspaces': valid_workspaces}, tuple(problems))
+
+
+def _services(services: dict, problems: list[str]) -> dict:
+    valid = {}
+    for name, value in services.items():
+        path = f'fleet.services.{name}'
+        try:
+            valid_part(ServiceName, name, path, problems)
+            valid[name] = valid_part(FleetService, value, path, problems)
+        except NothingValid:
+            # The line of the problem is there already.
+            continue
+    return valid
+
+
+def _workspaces(workspaces: dict, problems: list[str]) -> dict:
+    valid: dict[str, dict] = {}
+    owners: dict[str, str] = {}
+    for name, value in workspaces.items():
+        path = f'workspaces.{name}'
+        valid[str(name)] = {}
+        if not isinstance(name, str) or not is_field_value(name):
+            problems.append(f'{path}: servers cannot be told this name')
+            continue
+        try:
+            workspace = dict(valid_part(WorkspaceSpec, value, path, problems))
+        except NothingValid:
+            continue
+        keys = workspace.get('keys', [])
+        own = [key for key in keys if owners.setdefault(key, name) == name]
+        if len(own) < len(keys):
+            problems.append(f'{path}.keys: some belong to a workspace before it, which counts')
+        valid[name] = workspace | {'keys': own}
+    return valid
+
+
+def _routes(routes: Iterable[object], problems: list[str]) -> Iterator[object]:
     """Yield the valid routes, and after them those that only keep others from their requests."""
     without_services = []
     for number, route in enumerate(routes):
-        if _is_valid(ForwardedRoute, route, f'fleet.forwarding.{number}', problems):
-            yield route
-        elif isinstance(route, dict):
-            place = {name: route.get(name) for name in ('host', 'path_prefix')}
-            without_services.append(place | {'shares': NO_SERVICE})
+        path = f'fleet.forwarding.{number}'
+        try:
+            weighed = _with_valid_shares(route, path, problems)
+            yield _cautious(route, valid_part(ForwardedRoute, weighed, path, problems))
+        except NothingValid:
+            if isinstance(route, dict):
+                place = {name: route.get(name) for name in ('host', 'path_prefix')}
+                without_services.append(place | {'shares': NO_SERVICE})
     for route in without_services:
-        if _is_valid(ForwardedRoute, route, '', []):
-            yield route
+        try:
+            yield valid_part(ForwardedRoute, route, '', [])
+        except NothingValid:
+            # Its host or prefix is invalid, so no request could be for it.
+            continue
 
 
-def _is_valid(kind: type, value: object, path: str, problems: list[str]) -> bool:
-    try:
-        check(kind, value)
-    except SettingsInvalid as error:
-        problems.append(f'{path}: {error.detail}')
-        return False
-    return True
+def _with_valid_shares(route: object, path: str, problems: list[str]) -> object:
+    """Return a route with those of its shares that are valid as a whole, if there are any.
+
+    A share without its weight would get a part that nobody gave it.
+    """
+    shares = route.get('shares') if isinstance(route, dict) else None
+    if not isinstance(shares, list):
+        return route
+    valid = [share for share in shares if is_valid(ServiceShare, share)]
+    if not valid or len(valid) == len(shares):
+        return route
+    problems.append(f'{path}.shares: {len(shares) - len(valid)} of {len(shares)} are invalid')
+    return route | {'shares': valid}
+
+
+def _cautious(route: object, valid: object) -> object:
+    """Return a valid route with a cautious value in place of each lost one that needs it."""
+    if valid is route:
+        return route
+    policy = valid.get('policy', {})
+    given = route.get('policy', {})
+    given = given if isinstance(given, dict) else CAUTIOUS_POLICY
+    lost = {name: CAUTIOUS_POLICY[name] for name in CAUTIOUS_POLICY if name in given} | policy
+    return valid | {'policy': lost}
 
 
 def _mapping(value: object, path: str, problems: list[str]) -> dict:
