Let some boxes read the store themselves while it seems to answer no watcher

Callers at boxes in touch were served by an older configuration for up to 3.87 s after its acknowledgement, with a bound of 2 s: of 24 boxes the four that watch the store were cut from it, and the four that rank next.

A box now doubts the store as soon as it hears of a watch that was not answered, or as the last proof that the store answered any box is older than it ever is while all is well (a turn, an answer and the gossip). Each box draws by chance when it then reads the store: three boxes at once on the average, twice as many after each 0.15 s, 48 at most, until an answer calms the others; that news goes out at once. The lot depends on no rank, so no choice of cut boxes meets it. Lists that may be old, which boxes poll, are no proof any more.

Sum of the limits, s: 1.0 (turn) + 0.25 (slack) + 0.1 (event) + 0.15 (look) + 0.2 (spread) = 1.7; where no watcher reaches its peers either: 1.6 (proof, 24 boxes) + 0.15 + 0.2 = 1.95.

--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -59,6 +59,7 @@
     WatchUnanswered,
 )
 from .listed import ListInUse
+from .store_wanted import StoreWanted
 from .tasks import SerialTask
 
 #: Interval between checks of the routing state, in seconds.  The shortest silence that
@@ -93,9 +94,8 @@
         self.watch_turn = router.watch_turn
         self._store_lost = False
         self._lagging: frozenset[ObjectKind] = frozenset()
-        #: Set while this box watches the store, has lost it and must reconnect, or lags behind.
-        self.store_wanted = threading.Event()
-        self.store_wanted.set()
+        #: Wanted while this box watches the store, has lost it and must reconnect, or lags behind.
+        self.store_wanted = StoreWanted()
         self._store_wanted_lock = threading.Lock()
         #: Called when there is an update that peers should receive immediately.
         self.on_update: Callable[[], None] | None = None
@@ -124,7 +124,7 @@
             CallClosed: self._call_closed,
             AbandonCall: self._abandon_call,
             EngineLoadReported: self._engine_load_reported,
-            StoreAnswered: lambda _: self._router.store_answered(self._clock()),
+            StoreAnswered: self._store_answered,
             WatchUnanswered: self._watch_unanswered,
             EngineLeaving: self._engine_leaving,
             EngineResting: self._engine_resting,
@@ -160,6 +160,9 @@
         self._set_watch_role(self._router.watches_store(now))
         self.watch_turn = self._router.watch_turn
         self._router.store_lost = self.store_lost
+        if self._router.begins_look(now):
+            self.store_wanted.begin_look()
+            self.log.info('store.look', look=self.store_wanted.look)
         decisions = self._router.tick(now)
         self._report_engine_uses(now)
         due = min(now + CHECK_SECONDS, self._router.next_due(now))
@@ -198,10 +201,7 @@
     def _update_store_wanted(self) -> None:
         # Three threads call this: the event must show what the last of them changed.
         with self._store_wanted_lock:
-            if self.watches_store or self._store_lost or self._lagging:
-                self.store_wanted.set()
-            else:
-                self.store_wanted.clear()
+            self.store_wanted.set(self.watches_store or self._store_lost or bool(self._lagging))
 
     def _notify_peers(self) -> None:
         if self.on_update is not None:
@@ -294,6 +294,14 @@
                 Refused(message.call_id, CallerLeft.code, 'the caller closed its connection')
             )
 
+    def _store_answered(self, message: StoreAnswered) -> None:
+        now = self._clock()
+        in_doubt = self._router.store_in_doubt(now)
+        self._router.store_answered(now, message.is_fresh)
+        if in_doubt and message.is_fresh:
+            # Other boxes are about to read the store, too.
+            self._notify_peers()
+
     def _watch_unanswered(self, _: WatchUnanswered) -> None:
         self._router.watch_unanswered(self._clock())
         self._log_events()
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -64,7 +64,9 @@
 
 
 class StoreAnswered(Struct):
-    """Reports that the platform answered this box."""
+    """Reports that the platform answered this box; `is_fresh` if with its newest state."""
+
+    is_fresh: bool = True
 
 
 class WatchUnanswered(Struct):
--- a/packages/router/seamhold/forwarding/followers.py
+++ b/packages/router/seamhold/forwarding/followers.py
@@ -71,9 +71,14 @@
         watches = decider.watches_store or decider.store_lost or bool(decider.lagging)
         return watches or not self._ready()
 
-    def wait_for_turn(self) -> None:
-        """Wait until this box should watch, at most STOP_CHECK_SECONDS."""
-        self._decider.store_wanted.wait(STOP_CHECK_SECONDS)
+    @property
+    def look(self) -> int:
+        """The number of looks at the store so far."""
+        return self._decider.store_wanted.look
+
+    def wait_for_turn(self, looked: int) -> None:
+        """Wait for a look after `looked`, or until this box should watch; not for long."""
+        self._decider.store_wanted.wait(looked, STOP_CHECK_SECONDS)
 
     def next_watch_seconds(self) -> float:
         """Return how long this box's next watch of a kind may wait for a change."""
@@ -100,50 +105,34 @@
         self._decider.store_lost = False
         self.on_answer()
 
-    def on_answer(self) -> None:
+    def on_answer(self, is_fresh: bool = True) -> None:
         """Record that the store answered; the decider reports it to other boxes."""
-        self._decider.send(StoreAnswered())
+        self._decider.send(StoreAnswered(is_fresh))
 
 
-class TreeFollower(Follower):
-    """Follows the object called `name`, which holds the whole settings tree.
+class StoreFollower(Follower):
+    """Follows a collection on the boxes that watch the store, and reads it in each look."""
 
-    `read` converts an object to values of the settings schema.  `defaults` are the
-    fleet-level values that the platform's configuration does not contain.
-    """
-
-    kind = ObjectKind.SETTINGS
     retry_max_seconds = RETRY_MAX_SECONDS
     batch_seconds = BATCH_SECONDS
     starting_batch_seconds = STARTING_BATCH_SECONDS
     starting_seconds = STARTING_SECONDS
+    #: Set by the subclasses.
+    _watch: StoreWatch
+    #: The number of the last look that this follower took.
+    _looked = 0
 
-    def __init__(
-        self,
-        store: ObjectStore,
-        metrics: Metrics,
-        rng: random.Random,
-        watch: StoreWatch,
-        settings_task: SettingsTask,
-        name: str,
-        read: Callable[[PlatformObject], dict],
-        defaults: dict,
-    ):
-        super().__init__(store, metrics, rng)
-        self._watch = watch
-        self._settings_task = settings_task
-        self._name = name
-        self._foreign = LogOnce(f'follow-{self.kind}', 'settings.foreign')
-        self._read = read
-        self._defaults = defaults
+    def _follow(self) -> None:
+        self._looked = self._watch.look
+        super()._follow()
 
     def should_follow(self) -> bool:
-        """Whether this box should watch the store."""
-        return self._watch.should_follow()
+        """Whether this box should watch the store, or look at it."""
+        return self._watch.should_follow() or self._watch.look != self._looked
 
     def wait_for_turn(self) -> None:
-        """Wait until this box should watch the store, or a few seconds have passed."""
-        self._watch.wait_for_turn()
+        """Wait until this box should read the store, or a few seconds have passed."""
+        self._watch.wait_for_turn(self._looked)
 
     def before_watch(self) -> None:
         """Wait until this box knows whether it is a watcher."""
@@ -161,6 +150,35 @@
         """Record that the store did not answer a watch."""
         self._watch.on_unanswered_watch()
 
+
+class TreeFollower(StoreFollower):
+    """Follows the object called `name`, which holds the whole settings tree.
+
+    `read` converts an object to values of the settings schema.  `defaults` are the
+    fleet-level values that the platform's configuration does not contain.
+    """
+
+    kind = ObjectKind.SETTINGS
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        metrics: Metrics,
+        rng: random.Random,
+        watch: StoreWatch,
+        settings_task: SettingsTask,
+        name: str,
+        read: Callable[[PlatformObject], dict],
+        defaults: dict,
+    ):
+        super().__init__(store, metrics, rng)
+        self._watch = watch
+        self._settings_task = settings_task
+        self._name = name
+        self._foreign = LogOnce(f'follow-{self.kind}', 'settings.foreign')
+        self._read = read
+        self._defaults = defaults
+
     def on_unreachable(self) -> None:
         """Record that the store did not answer."""
         self._watch.on_lost()
@@ -220,7 +238,7 @@
     request_lists: Callable[[], None]
 
 
-class VersionedListFollower(ListFollower):
+class VersionedListFollower(StoreFollower, ListFollower):
     """Follows a list whose versions are increasing numbers.
 
     `deliver` receives the whole list and its version, unless the list is equal to the
@@ -228,11 +246,6 @@
     change and returns whether the change has to be delivered.
     """
 
-    retry_max_seconds = RETRY_MAX_SECONDS
-    batch_seconds = BATCH_SECONDS
-    starting_batch_seconds = STARTING_BATCH_SECONDS
-    starting_seconds = STARTING_SECONDS
-
     def __init__(
         self,
         kind: ObjectKind,
@@ -246,28 +259,13 @@
             kind, source.store, source.metrics, source.rng, read, self._deliver_if_changed
         )
         self._source = source
+        self._watch = source.watch
         self._deliver_list = deliver
         self._current = current
         self._is_update = is_update
         #: Whether an item changed since the list was delivered.
         self._has_update = False
 
-    def should_follow(self) -> bool:
-        """Whether this box should watch the store."""
-        return self._source.watch.should_follow()
-
-    def wait_for_turn(self) -> None:
-        """Wait until this box should watch the store, or a few seconds have passed."""
-        self._source.watch.wait_for_turn()
-
-    def before_watch(self) -> None:
-        """Wait until this box knows whether it is a watcher."""
-        self._source.watch.wait_for_role()
-
-    def next_watch_seconds(self) -> float:
-        """Return how long this box's next watch may wait for a change."""
-        return self._source.watch.next_watch_seconds()
-
     def on_change(self, kind: WatchKind, item: PlatformObject) -> None:
         """Replace or remove one item; all changes of one watch are delivered together."""
         before = self._items.get(item.name)
@@ -285,14 +283,6 @@
         if current is None or _by_name(items) != _by_name(current):
             self._deliver_list(items, int(self.version))
 
-    def on_answer(self) -> None:
-        """Record that the store answered."""
-        self._source.watch.on_answer()
-
-    def on_unanswered_watch(self) -> None:
-        """Record that the store did not answer a watch."""
-        self._source.watch.on_unanswered_watch()
-
     def on_unreachable(self) -> None:
         """Request the lists from other boxes, which may have newer ones."""
         self._source.request_lists()
@@ -332,6 +322,15 @@
 
     _first_polls = 0
 
+    def should_follow(self) -> bool:
+        """Whether this box is one of those that poll; a look is for newer state than this has."""
+        self._looked = self._watch.look
+        return self._watch.should_follow()
+
+    def on_answer(self) -> None:
+        """Record that the store answered, perhaps with an older state."""
+        self._watch.on_answer(is_fresh=False)
+
     def _follow(self) -> None:
         while not self._stopped.is_set() and self.should_follow():
             starting = self._is_starting()
--- a/packages/routing/seamhold_routing/exchange.py
+++ b/packages/routing/seamhold_routing/exchange.py
@@ -1,5 +1,6 @@
 """The digests that one box sends to its peers and applies from them."""
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
@@ -125,8 +126,10 @@
         self._unanswered_watches = 0
         #: What each peer last said that it spent of its retry budgets.
         self._retries: dict[str, _RetryReport] = {}
-        #: When the platform last answered any box, as far as this box knows.
+        #: When the platform last answered any box with its newest state, as far as this box knows.
         self.store_answered_at: float | None = None
+        #: When this box last heard that a watch of some box was not answered.
+        self.unanswered_at = -math.inf
 
     # Updates from peers, engines and the platform.
 
@@ -199,7 +202,7 @@
         for heartbeat in digest.watchers:
             self._receive_heartbeat(heartbeat, now)
         if digest.store_age is not None:
-            self.record_store_answer(now - digest.store_age)
+            self._receive_store_answer(now - digest.store_age)
 
     def _receive_heartbeat(self, heartbeat: WatcherHeartbeat, now: float) -> None:
         at = now - heartbeat.age
@@ -229,6 +232,11 @@
         if self.store_answered_at is None or at > self.store_answered_at:
             self.store_answered_at = at
 
+    def _receive_store_answer(self, at: float) -> None:
+        """Record an answer that a peer relayed, unless it seems newer by its way alone."""
+        if self.store_answered_at is None or at > self.store_answered_at + MIN_NEWER_SECONDS:
+            self.store_answered_at = at
+
     def placed(self, chat: str, engine: str, now: float) -> None:
         """Record that this box sent a call of `chat` to `engine`, which then holds the chat."""
         holding = self._state.holders.record_placement(chat, engine, now)
@@ -279,6 +287,7 @@
             state.boxes.record_gone_report(event.subject, event.origin, now)
         elif event.kind is EventKind.WATCH_UNANSWERED:
             self.selection.record_unanswered(event.subject, now)
+            self.unanswered_at = now
 
     def forget_silent(self, now: float) -> None:
         """Drop what silent neighbours reported, and report them gone to other boxes if needed."""
--- a/packages/routing/seamhold_routing/router.py
+++ b/packages/routing/seamhold_routing/router.py
@@ -35,6 +35,7 @@
 from .health import EngineHealth
 from .plans import caps_for
 from .store_access import StoreAccess
+from .store_looks import StoreLooks, StoreProof, proof_seconds
 from .watchers import (
     WatchTurn,
     box_missing_seconds,
@@ -101,6 +102,7 @@
         self._forget_cases_at = -math.inf
         self.exchange = PeerExchange(box, incarnation, state)
         rng = random.Random(incarnation)
+        self._looks = StoreLooks(random.Random(f'looks-{incarnation}'))
         self._calls = BoxCalls(
             state,
             self.exchange,
@@ -244,11 +246,12 @@
         total = max(len(self.engines.of_service(service)), serving + len(ended))
         return serving > MIN_SERVING_SHARE * total
 
-    def store_answered(self, now: float) -> None:
-        """Record that the platform answered this box."""
-        self.exchange.record_store_answer(now)
-        self.exchange.record_own_answer()
+    def store_answered(self, now: float, is_fresh: bool = True) -> None:
+        """Record that the platform answered this box; `is_fresh` if with its newest state."""
         self._store_access.record_answer(now)
+        if is_fresh:
+            self.exchange.record_store_answer(now)
+            self.exchange.record_own_answer()
 
     def watch_unanswered(self, now: float) -> None:
         """Record that the platform did not answer a watch of this box in time."""
@@ -300,8 +303,8 @@
     # Time.
 
     def next_due(self, now: float) -> float:
-        """Return when `tick` is due next: for a waiting call or a slow answer."""
-        return min(self.health.next_slow_at(), self._calls.next_due(now))
+        """Return when `tick` is due next: for a waiting call, a slow answer or a look."""
+        return min(self.health.next_slow_at(), self._calls.next_due(now), self._looks.due_at)
 
     def tick(self, now: float) -> list[Decision]:
         """Expire old state, detect silent boxes and outliers, and decide on waiting calls."""
@@ -351,6 +354,19 @@
         self.exchange.watching = watches and not self.store_lost
         return watches
 
+    def begins_look(self, now: float) -> bool:
+        """Return whether this box is to read the store now, as it seems to answer no watcher."""
+        begins = self._looks.begins(self._store_doubted_at(), len(self.boxes.peers()) + 1, now)
+        return begins and not self.exchange.watching and not self.store_lost
+
+    def store_in_doubt(self, now: float) -> bool:
+        """Return whether there is no fresh proof that the store answers any box."""
+        return now >= self._store_doubted_at()
+
+    def _store_doubted_at(self) -> float:
+        proof = StoreProof(self.exchange.store_answered_at, self.exchange.unanswered_at)
+        return proof.doubted_at(proof_seconds(self.boxes, self.tree.fleet.control))
+
     @property
     def watch_turn(self) -> WatchTurn:
         """This box's turn among the watchers, valid while it is one."""
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -28,10 +28,12 @@
 class AlwaysServed:
     """A StoreWatch of a box that is a watcher and that the store serves."""
 
+    look = 0
+
     def should_follow(self) -> bool:
         return True
 
-    def on_answer(self) -> None:
+    def on_answer(self, is_fresh: bool = True) -> None:
         """Do nothing; no box is informed."""
 
     def wait_for_role(self) -> None:
