Open no tunnel on a connection to a peer that closes

Callers of a box that was cut from its servers got 500, "may have run", although peers could carry their calls and nothing had been sent: after unanswered pings grpclib closes a connection and drops its transport, but reports the loss only once the unsent data is gone. A stream that is opened meanwhile fails with an AttributeError, which is none of the errors of a peer, so the attempt ended as a fault of the box.

A client now opens a new connection beside one that closes, and a call that meets one gets ConnectionResetError, which the hedge answers with a new one.

--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -88,8 +88,20 @@
         self._calls = 0
         self._retired = False
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether a connection was opened and is closed or about to be.
+
+        A connection that went silent with unsent data stays so until the kernel gives up; the
+        library takes it for open and fails with an error of its own.
+        """
+        protocol = self._channel._protocol
+        return protocol is not None and protocol.processor.connection.is_closing()
+
     def __enter__(self) -> PeerStub:
-        """Begin a call."""
+        """Begin a call; raises ConnectionResetError on a connection that closes."""
+        if self.is_closing:
+            raise ConnectionResetError('the connection to the peer closes')
         self._calls += 1
         return self.stub
 
@@ -252,6 +264,8 @@
         Raises one of PEER_ERRORS.  After a timeout, later calls use a new connection.
         """
         patience = min(HEDGE_SECONDS, HEDGE_SHARE * seconds)
+        if self._connection is not None and self._connection.is_closing:
+            self._retire(self._connection)
         is_new = self._connection is None
         if is_new:
             patience = min(NEW_CONNECTION_HEDGE_SECONDS, NEW_CONNECTION_HEDGE_SHARE * seconds)
@@ -314,6 +328,9 @@
         return self._connection
 
     def _stream_connection(self) -> _Connection:
+        if self._streams is not None and self._streams.is_closing:
+            self._streams.retire()
+            self._streams = None
         if self._streams is None:
             self._streams = _Connection(self._host, self._port, STREAM_CONFIG)
         return self._streams
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -6,7 +6,15 @@
 
 import testtools
 
-from seamhold_peers import PeerClient, PeerServer, TunnelFailed, TunnelReply, TunnelRequest
+from seamhold_peers import (
+    LivenessQuery,
+    LivenessReply,
+    PeerClient,
+    PeerServer,
+    TunnelFailed,
+    TunnelReply,
+    TunnelRequest,
+)
 from seamhold_peers.client import PEER_ERRORS
 from seamhold_peers.engine_connection import EngineReader
 from seamhold_peers.tunnel import Connection, Tunnel, TunnelData, TunnelEnd
@@ -42,9 +50,8 @@
         finally:
             self.closed.set()
 
-    @staticmethod
-    async def find_liveness() -> str:
-        return 'alive'
+    async def find_liveness(self, query: LivenessQuery | None = None) -> Any:
+        return 'alive' if query is None else LivenessReply('alive')
 
     def write(self, data: bytes) -> None:
         """Take the box's bytes."""
@@ -152,3 +159,49 @@
 
     def test_data_without_bytes_does_not_look_like_the_end(self):
         self.assert_broken_after_data(TunnelData(b''))
+
+
+class TestClosingConnections(testtools.TestCase):
+    """Connections that the box closes, as pings were not answered, and that have unsent data."""
+
+    def run_with(self, scenario) -> None:
+        async def run() -> None:
+            peer: Any = CarryingPeer((b'whole',))
+            server = PeerServer(peer)
+            await server.start(HOST, 0)
+            listener: Any = server._server._server
+            client = PeerClient(f'{HOST}:{listener.sockets[0].getsockname()[1]}')
+            try:
+                await scenario(client)
+            finally:
+                client.close()
+                await server.stop()
+
+        asyncio.run(run())
+
+    @staticmethod
+    def close(connection: Any) -> None:
+        """Close a connection without the loss that is reported once its data was sent."""
+        connection._channel._protocol.processor.connection.close()
+
+    def test_a_tunnel_opens_beside_a_connection_that_closes(self):
+        """Guards against 500 for calls that a peer could carry."""
+
+        async def scenario(client):
+            tunnel = await client.open_tunnel(REQUEST, OPEN_SECONDS)
+            self.close(client._streams)
+            other = await client.open_tunnel(REQUEST, OPEN_SECONDS)
+            self.assertEqual(b'whole', await other.receive())
+            await other.close()
+            await tunnel.close()
+
+        self.run_with(scenario)
+
+    def test_a_call_is_answered_beside_a_connection_that_closes(self):
+        async def scenario(client):
+            query = LivenessQuery('i-1', '')
+            for _ in range(2):
+                self.assertEqual('alive', (await client.find_liveness(query)).liveness)
+                self.close(client._connection)
+
+        self.run_with(scenario)
