--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -84,7 +84,7 @@
 
 
 class LivenessReply(Struct, frozen=True):
-    """A value of `seamhold.probing.Life`, '' if the peer does not list this start."""
+    """A value of `seamhold.probing.Liveness`, '' if the peer does not list this start."""
 
     liveness: str = ''
 
--- a/packages/peers/seamhold_peers/tunnel.py
+++ b/packages/peers/seamhold_peers/tunnel.py
@@ -30,7 +30,7 @@
 class Connection(NamedTuple):
     """A connection to an engine; `find_liveness` returns whether the engine is alive now.
 
-    The liveness is a value of `seamhold.probing.Life`, or '' if it was not checked.
+    The liveness is a value of `seamhold.probing.Liveness`, or '' if it was not checked.
     """
 
     reader: EngineReader
--- a/packages/router/seamhold/answer_ends.py
+++ b/packages/router/seamhold/answer_ends.py
@@ -11,21 +11,21 @@
 
 from .framing import Framing
 from .ports import AttemptFailed, Cancellation
-from .probing import Life
+from .probing import Liveness
 
 
 def confirm_end(
-    framing: Framing, cancellation: Cancellation, find_life: Callable[[], Life]
+    framing: Framing, cancellation: Cancellation, find_liveness: Callable[[], Liveness]
 ) -> None:
     """Return if the bytes that ended are the whole answer; raises AttemptFailed if not.
 
-    `find_life` finds out whether the server's process is alive now, if that matters.
+    `find_liveness` finds out whether the server's process is alive now, if that matters.
     """
     if framing is not Framing.CONNECTION:
         return
     if cancellation.cancelled:
         raise AttemptFailed(Outcome.BROKEN, AnswerCut('this box closed the connection'))
-    life = find_life()
-    if life is not Life.ALIVE:
-        unproven = AnswerEndUnproven(f'the connection ended, and the server is {life}')
+    liveness = find_liveness()
+    if liveness is not Liveness.ALIVE:
+        unproven = AnswerEndUnproven(f'the connection ended, and the server is {liveness}')
         raise AttemptFailed(Outcome.BROKEN, unproven)
--- a/packages/router/seamhold/engines.py
+++ b/packages/router/seamhold/engines.py
@@ -22,7 +22,7 @@
 from .clock import boot_seconds
 from .framing import Framing, framing_of, is_readable, unreadable_answer
 from .ports import AttemptFailed, Cancellation, EngineLoad, EngineRequest, whole_body
-from .probing import life_at, refuses_connections, was_refused
+from .probing import liveness_at, refuses_connections, was_refused
 from .streams import EventStreamCheck
 
 REQUEST_ID_HEADER = 'X-Request-Id'
@@ -135,7 +135,7 @@
         self._set_stall_timeout(response, remaining)
 
         def confirm(framing: Framing) -> None:
-            confirm_end(framing, cancellation, lambda: life_at(placed.address))
+            confirm_end(framing, cancellation, lambda: liveness_at(placed.address))
 
         return self._check_answer(EngineAnswer(response, confirm), request)
 
--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -42,7 +42,7 @@
     Verdict,
     whole_body,
 )
-from ..probing import Life, life_at, refuses_connections, was_refused
+from ..probing import Liveness, liveness_at, refuses_connections, was_refused
 from .engine_access import EngineAccess
 from .events import EventCheck
 from .tunnel_socket import TunnelSocket
@@ -85,7 +85,7 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX),
 )
 #: What a carrier found out about a server's process, and not only tried to.
-KNOWN_LIVENESS = frozenset({Life.ALIVE, Life.ENDED})
+KNOWN_LIVENESS = frozenset({Liveness.ALIVE, Liveness.ENDED})
 CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, HTTPException, OSError, ValueError)
 TIMEOUT_ERRORS = (TimeoutError, urllib3.exceptions.TimeoutError)
 
@@ -200,7 +200,7 @@
             raise
 
         def confirm(framing: Framing) -> None:
-            confirm_end(framing, cancellation, lambda: self._life_of(placed, connected))
+            confirm_end(framing, cancellation, lambda: self._liveness_of(placed, connected))
 
         answer = BackendAnswer(connection, connected, response, deadline, self._clock, confirm)
         try:
@@ -340,19 +340,19 @@
             return False
         return self._access is None or self._access.reaches_others(placed.engine)
 
-    def _life_of(self, placed: Placed, connected: socket.socket | TunnelSocket) -> Life:
+    def _liveness_of(self, placed: Placed, connected: socket.socket | TunnelSocket) -> Liveness:
         """Return whether the server's process is alive.
 
         The peer that carried the connection found out at its end.  Otherwise this box does, and
         if it does not reach the server, its peers do.
         """
         if isinstance(connected, TunnelSocket) and connected.liveness in KNOWN_LIVENESS:
-            return Life(connected.liveness)
+            return Liveness(connected.liveness)
         cut_off = self._access is not None and self._access.is_cut_off(placed.engine)
-        life = Life.UNKNOWN if cut_off else life_at(placed.address)
-        if life is Life.UNKNOWN and self._tunnels is not None:
+        liveness = Liveness.UNKNOWN if cut_off else liveness_at(placed.address)
+        if liveness is Liveness.UNKNOWN and self._tunnels is not None:
             return self._tunnels.find_liveness(placed)
-        return life
+        return liveness
 
     def close(self) -> None:
         """Do nothing: no connection is kept between attempts."""
--- a/packages/router/seamhold/forwarding/carrier.py
+++ b/packages/router/seamhold/forwarding/carrier.py
@@ -19,7 +19,7 @@
 
 from ..gate import Gate
 from ..metrics import Metrics
-from ..probing import life_at
+from ..probing import liveness_at
 from .backends import CONNECT_SECONDS, SOCKET_OPTIONS
 from .engine_access import EngineAccess
 
@@ -61,7 +61,7 @@
         engine = self._listed(query.engine, query.incarnation)
         if engine is None or self._access.is_cut_off(engine.name):
             return LivenessReply()
-        return LivenessReply(await _liveness_at(engine.address))
+        return LivenessReply(await _check_liveness(engine.address))
 
     def _listed(self, name: str, incarnation: str) -> Engine | None:
         engine = self._access.engine(name)
@@ -86,8 +86,8 @@
         connected = writer.get_extra_info('socket')
         for level, option, value in SOCKET_OPTIONS:
             connected.setsockopt(level, option, value)
-        return Connection(reader, writer, functools.partial(_liveness_at, engine.address))
+        return Connection(reader, writer, functools.partial(_check_liveness, engine.address))
 
 
-async def _liveness_at(address: str) -> str:
-    return await asyncio.to_thread(life_at, address)
+async def _check_liveness(address: str) -> str:
+    return await asyncio.to_thread(liveness_at, address)
--- a/packages/router/seamhold/forwarding/tunnels.py
+++ b/packages/router/seamhold/forwarding/tunnels.py
@@ -12,7 +12,7 @@
 from ..logs import logger
 from ..metrics import Metrics
 from ..peering import Peering
-from ..probing import Life
+from ..probing import Liveness
 from .tunnel_socket import TunnelSocket
 
 #: Limit on a peer's reply, in seconds: its own limit on connecting and a few round trips.
@@ -77,7 +77,7 @@
                 return tunnel
         return None
 
-    def find_liveness(self, placed: Placed) -> Life:
+    def find_liveness(self, placed: Placed) -> Liveness:
         """Ask some peers whether an engine is alive; UNKNOWN if none of them knows."""
         query = LivenessQuery(placed.engine, placed.incarnation)
         clients = [client for _, client in self._carriers()]
@@ -86,8 +86,8 @@
             liveness = asking.result(FIND_LIVENESS_SECONDS + SLACK_SECONDS)
         except TimeoutError:
             asking.cancel()
-            liveness = Life.UNKNOWN
-        if liveness is Life.UNKNOWN:
+            liveness = Liveness.UNKNOWN
+        if liveness is Liveness.UNKNOWN:
             self._log.info('liveness.unknown', engine=placed.engine, peers=len(clients))
         return liveness
 
@@ -111,19 +111,19 @@
     return TunnelSocket(await client.open_tunnel(request, TUNNEL_SECONDS), box)
 
 
-async def _first_known(clients: list[PeerClient], query: LivenessQuery) -> Life:
+async def _first_known(clients: list[PeerClient], query: LivenessQuery) -> Liveness:
     """Ask all of these peers at once, and return the first answer that tells something."""
     for reply in asyncio.as_completed([_ask(client, query) for client in clients]):
         liveness = await reply
-        if liveness is not Life.UNKNOWN:
+        if liveness is not Liveness.UNKNOWN:
             return liveness
-    return Life.UNKNOWN
+    return Liveness.UNKNOWN
 
 
-async def _ask(client: PeerClient, query: LivenessQuery) -> Life:
+async def _ask(client: PeerClient, query: LivenessQuery) -> Liveness:
     try:
         reply = await client.find_liveness(query)
-        return Life(reply.liveness or Life.UNKNOWN)
+        return Liveness(reply.liveness or Liveness.UNKNOWN)
     except (ValueError, *PEER_ERRORS):
         # A peer that cannot tell is as one that was not asked.
-        return Life.UNKNOWN
+        return Liveness.UNKNOWN
--- a/packages/router/seamhold/probing.py
+++ b/packages/router/seamhold/probing.py
@@ -22,7 +22,7 @@
 PROBE_PAUSES_SECONDS = (0.0, 0.002, 0.01, 0.03, 0.1)
 
 
-class Life(StrEnum):
+class Liveness(StrEnum):
     """Whether a server's process runs, as far as its address shows.
 
     `ALIVE`: it accepts connections, even if it resets all of them, as a full server does.
@@ -56,7 +56,11 @@
     RESETS = auto()
 
 
-LIFE_BY_FOUND = {_Found.REFUSES: Life.ENDED, _Found.SILENT: Life.UNKNOWN, _Found.QUIET: Life.ALIVE}
+LIVENESS_BY_FOUND = {
+    _Found.REFUSES: Liveness.ENDED,
+    _Found.SILENT: Liveness.UNKNOWN,
+    _Found.QUIET: Liveness.ALIVE,
+}
 
 
 def refuses_connections(address: str) -> bool:
@@ -64,16 +68,16 @@
 
     False where that is unknown: the machine is unreachable, or has lost power.
     """
-    return life_at(address) is Life.ENDED
+    return liveness_at(address) is Liveness.ENDED
 
 
-def life_at(address: str) -> Life:
+def liveness_at(address: str) -> Liveness:
     """Return whether a process listens at `address` (`ip:port`) and is not ending."""
     host, _, port = address.rpartition(':')
-    return find_life(lambda: socket.create_connection((host, int(port)), PROBE_SECONDS))
+    return find_liveness(lambda: socket.create_connection((host, int(port)), PROBE_SECONDS))
 
 
-def find_life(connect: Callable[[], ProbedConnection]) -> Life:
+def find_liveness(connect: Callable[[], ProbedConnection]) -> Liveness:
     """Return whether the process that `connect` connects to is alive.
 
     `connect` raises OSError, which is a ConnectionRefusedError if no process listens.
@@ -82,8 +86,8 @@
         time.sleep(pause)
         found = _probe(connect)
         if found is not _Found.RESETS:
-            return LIFE_BY_FOUND[found]
-    return Life.ALIVE
+            return LIVENESS_BY_FOUND[found]
+    return Liveness.ALIVE
 
 
 def _probe(connect: Callable[[], ProbedConnection]) -> _Found:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -12,7 +12,7 @@
 from seamhold.engines import REQUEST_ID_HEADER, EngineClient
 from seamhold.framing import Framing, is_readable
 from seamhold.ports import AttemptFailed, Cancellation, EngineRequest
-from seamhold.probing import Life, find_life
+from seamhold.probing import Liveness, find_liveness
 from seamhold_messages.errors import AnswerEndUnproven
 from seamhold_messages.work import Placed
 
@@ -40,8 +40,8 @@
             confirm_end(framing, Cancellation(), lambda: self.fail('the server was probed'))
 
     def test_a_server_that_is_not_shown_to_live_did_not_end_its_answer(self):
-        confirm_end(Framing.CONNECTION, Cancellation(), lambda: Life.ALIVE)
-        for find in (lambda: Life.ENDED, lambda: Life.UNKNOWN):
+        confirm_end(Framing.CONNECTION, Cancellation(), lambda: Liveness.ALIVE)
+        for find in (lambda: Liveness.ENDED, lambda: Liveness.UNKNOWN):
             failed = self.assertRaises(
                 AttemptFailed, confirm_end, Framing.CONNECTION, Cancellation(), find
             )
@@ -51,7 +51,7 @@
         cancellation = Cancellation()
         cancellation.cancel()
         self.assertRaises(
-            AttemptFailed, confirm_end, Framing.CONNECTION, cancellation, lambda: Life.ALIVE
+            AttemptFailed, confirm_end, Framing.CONNECTION, cancellation, lambda: Liveness.ALIVE
         )
 
 
@@ -81,12 +81,12 @@
             self.assertEqual(readable, is_readable(response), coding)
 
 
-class TestFindLife(testtools.TestCase):
+class TestFindLiveness(testtools.TestCase):
     def test_a_connection_that_times_out_shows_no_life(self):
         def connect():
             raise TimeoutError
 
-        self.assertIs(Life.UNKNOWN, find_life(connect))
+        self.assertIs(Liveness.UNKNOWN, find_liveness(connect))
 
 
 class TestEngines(testtools.TestCase):
