--- a/packages/settings/seamhold_settings/valid_items.py
+++ b/packages/settings/seamhold_settings/valid_items.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable, Iterator
+from typing import Any
 
 from msgspec import Struct
 
@@ -114,7 +115,7 @@
             continue
 
 
-def _with_valid_shares(route: object, path: str, problems: list[str]) -> object:
+def _with_valid_shares(route: Any, path: str, problems: list[str]) -> Any:
     """Return a route with those of its shares that are valid as a whole, if there are any.
 
     A share without its weight would get a part that nobody gave it.
@@ -129,7 +130,7 @@
     return route | {'shares': valid}
 
 
-def _cautious(route: object, valid: object) -> object:
+def _cautious(route: Any, valid: Any) -> Any:
     """Return a valid route with a cautious value in place of each lost one that needs it."""
     if valid is route:
         return route
--- a/packages/settings/seamhold_settings/valid_parts.py
+++ b/packages/settings/seamhold_settings/valid_parts.py
@@ -1,6 +1,6 @@
 """Finds what is valid of a value of which some parts are not."""
 
-from typing import Annotated, get_args, get_origin
+from typing import Annotated, Any, get_args, get_origin
 
 import msgspec
 from msgspec import Meta, Struct
@@ -13,7 +13,7 @@
     """No part of a value is valid, or what is left is not without the others."""
 
 
-def valid_part(kind: object, value: object, path: str, problems: list[str]) -> object:
+def valid_part(kind: object, value: Any, path: str, problems: list[str]) -> Any:
     """Return a value without its invalid fields, entries and items; raises NothingValid.
 
     A number above its limit becomes that limit.  `problems` gets a line for each part that was
@@ -49,7 +49,7 @@
     return None
 
 
-def _limit_below(kind: object, value: object) -> int | None:
+def _limit_below(kind: object, value: object) -> int | float | None:
     """Return the upper limit of a number that exceeds it, None for any other value."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return None
@@ -64,7 +64,7 @@
 def _without_invalid(kind: object, value: object, path: str, problems: list[str]) -> object:
     base = base_type(kind)
     if isinstance(value, dict) and isinstance(base, type) and issubclass(base, Struct):
-        kinds = {field.name: field.type for field in fields(base)}
+        kinds: dict[Any, Any] = {field.name: field.type for field in fields(base)}
         return dict(_valid_entries(kinds, value, path, problems))
     if isinstance(value, dict) and get_origin(base) is dict:
         name_kind, item_kind = get_args(base)
