Log what decided at which version a stream goes on

The logs named the versions of each attempt and what a call resumes, but not whether the version came from the box's own record, a peer's, or from knowing one version only, nor how long the box was up.

Adds one line for each stream that is taken up.

--- a/packages/router/seamhold/stream_origins.py
+++ b/packages/router/seamhold/stream_origins.py
@@ -68,6 +68,7 @@
         self._peering = peering
         self._versions = versions
         self._clock = clock
+        self._started_at = clock()
         self._metrics = metrics
         self._log = logger('stream-origins')
         self._table = StreamTable()
@@ -171,7 +172,9 @@
                 origin = self._table.find(key, self._clock())
         else:
             origin = None
-        if origin is None:
+        if origin is not None:
+            self._log_found(key, origin, 'own_record')
+        else:
             origin = self._ask_peers(StreamQuery(key, service))
         if origin is not None and not origin.is_certain:
             raise self._unknown('its engine changed its version', None, frozenset())
@@ -185,6 +188,7 @@
             replies = self._replies(query, group)
             found = next((reply.origin for reply in replies if reply.origin is not None), None)
             if found is not None:
+                self._log_found(query.key, found, 'peer_record')
                 return found
             answered += len(replies)
             versions = versions.union(*(reply.versions for reply in replies))
@@ -195,7 +199,22 @@
             raise self._unknown('no other box answered', RETRY_AFTER_SECONDS, versions)
         if len(versions) > 1:
             raise self._unknown('no box that answered knows its version', None, versions)
-        return StreamOrigin(query.service, *versions) if versions else None
+        origin = StreamOrigin(query.service, *versions) if versions else None
+        self._log_found(query.key, origin, 'only_version', answered=answered)
+        return origin
+
+    def _log_found(self, key: str, origin: StreamOrigin | None, source: str, **more: int) -> None:
+        """Log what decided at which version a stream goes on."""
+        version = '' if origin is None else origin.version
+        up_seconds = round(self._clock() - self._started_at, 3)
+        self._log.info(
+            'stream.origin_found',
+            stream=key,
+            source=source,
+            version=version,
+            up_seconds=up_seconds,
+            **more,
+        )
 
     def _unknown(
         self, detail: str, retry_after: float | None, versions: frozenset[str]
