Take up a stream at the only known version only if no version can have been missed

Cause: a box took what it had not seen for what there is not. A box that asked for a stream's record and got none went on at "the only version"; a box that has just started knows one version of every service, however many there were before.

Change: a box knows since when it has missed no version (ServiceVersions.known_since), and replies to peers say so. sole_version decides over what this box and all that answered have seen: one version, seen for longer than records of streams are kept (one hour and a minute; versions were remembered for five minutes, records for an hour). Otherwise 503 stream_origin_unknown at once, with Retry-After where it may become known. If the first three do not settle it, the next five are asked, which the fault's second form lacked (five of six boxes restarted, the sixth was not asked). No version at all is unknown, too; before, the call was bound to nothing. The box file says first_start: nothing ran before, so nothing was missed.

Not yet: after a full restart all boxes refuse what has no record, also with one version; the store has to keep the history.

--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -9,9 +9,10 @@
 from .reach import EngineReach
 from .relay import GossipBuffer
 from .self_reports import BRITTLE_SECONDS, REST_MAX_SECONDS, SelfReports
+from .sole_version import KnownVersions, SoleVersion, UnknownReason, sole_version
 from .unused import ServiceUse, UnusedReason
 from .update_lag import UpdateLag
-from .versions import ServiceVersions, changed_versions
+from .versions import ListedVersion, ServiceVersions, VersionHistory, changed_versions
 
 __all__ = [
     'BRITTLE_SECONDS',
@@ -28,12 +29,18 @@
     'EventLog',
     'FailureCounts',
     'GossipBuffer',
+    'KnownVersions',
+    'ListedVersion',
     'SelfReports',
     'ServiceUse',
     'ServiceVersions',
     'Serving',
+    'SoleVersion',
+    'UnknownReason',
     'UnusedReason',
     'UpdateLag',
+    'VersionHistory',
     'changed_versions',
     'outliers',
+    'sole_version',
 ]
--- a/packages/membership/seamhold_membership/versions.py
+++ b/packages/membership/seamhold_membership/versions.py
@@ -1,16 +1,45 @@
-"""The software versions of each service's engines, now and shortly before.
+"""The software versions of each service's engines, now and in the time remembered.
 
-Versions have no order; they are only compared for equality.
+Versions have no order; they are only compared for equality.  A version that a box has not
+seen proves nothing by itself: a history therefore states for how long it is complete.
 """
 
 import math
 from collections.abc import Iterable, Mapping
 
+from msgspec import Struct
+
 from seamhold_messages.fleet import Engine
 
-#: How long a version counts after its last engine left the list, in seconds: streams that it
-#: began may still be taken up.
-REMEMBERED_SECONDS = 300.0
+#: How long a version counts after its last engine left the list, in seconds: longer than the
+#: records of streams are kept.
+REMEMBERED_SECONDS = 3660.0
+
+
+class ListedVersion(Struct, frozen=True):
+    """A version of a service, whose last engine left the list `gone_seconds` ago.
+
+    `gone_seconds` is 0 while an engine is listed.
+    """
+
+    service: str
+    version: str
+    gone_seconds: float = 0.0
+
+
+class VersionHistory(Struct, frozen=True):
+    """All versions that engines had in the last `known_seconds`, of all services.
+
+    `known_seconds` is infinite if the history goes back to the first start of the fleet.
+    """
+
+    known_seconds: float = 0.0
+    versions: tuple[ListedVersion, ...] = ()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether no version is missing whose streams may still be taken up."""
+        return self.known_seconds >= REMEMBERED_SECONDS
 
 
 class ServiceVersions:
@@ -19,6 +48,10 @@
     def __init__(self):
         #: When the last engine of a version left the list, by service and version.
         self._left_at: dict[tuple[str, str], float] = {}
+        #: Since when no version was missed, on the box's clock; infinite before the first list.
+        self.known_since = math.inf
+        #: Counts the versions that came and left.
+        self.changes = 0
         #: The versions by service.  Replaced as a whole, so any thread may read it.
         self.known: Mapping[str, frozenset[str]] = {}
         #: The services with several versions.
@@ -27,12 +60,36 @@
     def set_list(self, engines: Iterable[Engine], now: float) -> None:
         """Apply the platform's list of engines."""
         listed = {(engine.service, engine.version) for engine in engines}
-        for version, left_at in self._left_at.items():
-            if version not in listed and left_at == math.inf:
-                self._left_at[version] = now
+        listed_before = {
+            version for version, left_at in self._left_at.items() if left_at == math.inf
+        }
+        self._left_at |= dict.fromkeys(listed_before - listed, now)
         self._left_at |= dict.fromkeys(listed, math.inf)
+        self.changes += len(listed ^ listed_before)
+        self.known_since = min(self.known_since, now)
         self.forget(now)
 
+    def merge(self, history: VersionHistory, now: float) -> None:
+        """Add what the store or another box knows of the time before this box started."""
+        for one in history.versions:
+            version = (one.service, one.version)
+            left_at = now - max(0.0, one.gone_seconds)
+            self._left_at[version] = max(left_at, self._left_at.get(version, left_at))
+        self.known_since = min(self.known_since, now - history.known_seconds)
+        self.forget(now)
+
+    def history(self, now: float) -> VersionHistory:
+        """Return what this box knows, for the store or another box."""
+        versions = tuple(
+            ListedVersion(service, version, 0.0 if left_at == math.inf else now - left_at)
+            for (service, version), left_at in sorted(self._left_at.items())
+        )
+        return VersionHistory(self.known_seconds(now), versions)
+
+    def known_seconds(self, now: float) -> float:
+        """Return for how long no version was missed; any thread may call it."""
+        return max(0.0, now - self.known_since)
+
     def forget(self, now: float) -> None:
         """Drop the versions whose engines left long ago."""
         oldest = now - REMEMBERED_SECONDS
--- a/packages/router/seamhold/config.py
+++ b/packages/router/seamhold/config.py
@@ -31,6 +31,7 @@
     Addresses are `ip:port`.  `threads` is the number of calls served concurrently.
     `drain_grace` and `drain_limit` are in seconds.  `evacuations` states whether the
     platform's operators may evacuate failure domains: the box then follows that list too.
+    `first_start` states that no box of this fleet has run before, so nothing can have been missed.
     `response_buffer_share` is the part of the box's memory that may hold what slow callers have
     not read of their responses; 0 buffers nothing, and a slow caller holds its thread.
     `memory_bytes` is the box's memory, by default what the machine, the control group and the
@@ -53,6 +54,7 @@
     drain_limit: Annotated[float, Meta(gt=0, le=86_400)] = 600.0
     dialect: Annotated[str, Meta(pattern=r'^[a-z0-9-]*\Z')] = ''
     evacuations: bool = False
+    first_start: bool = False
     response_buffer_share: Annotated[float, Meta(ge=0, le=0.5)] = 0.0
     memory_bytes: Annotated[int, Meta(ge=1024 * 1024)] | None = None
     fleet: FleetDefaults = FleetDefaults()
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -45,8 +45,10 @@
     GetLists,
     GetReport,
     GetRetriesBefore,
+    GetVersionHistory,
     KnowledgeReport,
     LearnHoldings,
+    MergeVersions,
     ReceiveDigest,
     ReceiveHoldings,
     RefuseWaiting,
@@ -101,6 +103,8 @@
         self.on_update: Callable[[], None] | None = None
         #: Called with the services that got a second software version.
         self.on_mixed_versions: Callable[[frozenset[str]], None] | None = None
+        #: Called after a software version came to the list of engines, or left it.
+        self.on_listed_versions: Callable[[], None] | None = None
         #: Called with the engines, as listed before, whose version changed under their id.
         self.on_changed_versions: Callable[[frozenset[str]], None] | None = None
         #: Called with each new list of boxes, whether from the store or from a peer.
@@ -133,6 +137,8 @@
             SetEngines: self._set_engines,
             SetBoxes: self._set_boxes,
             SetEvacuations: self._set_evacuations,
+            MergeVersions: self._merge_versions,
+            GetVersionHistory: lambda _: self.versions.history(self._clock()),
             GetLists: self._get_lists,
             GetRetriesBefore: self._get_retries_before,
             ReceiveHoldings: self._receive_holdings,
@@ -338,17 +344,28 @@
         if not self.engines.is_update(message.version):
             return
         mixed_before = self.versions.mixed
+        changes_before = self.versions.changes
         changed = changed_versions(self.engines.items or [], message.engines)
         decisions = self._router.set_engines(message.engines, self._clock())
         self.engines.put(message.engines, message.version)
-        newly_mixed = self.versions.mixed - mixed_before
-        if newly_mixed and self.on_mixed_versions is not None:
-            self.on_mixed_versions(newly_mixed)
+        self._report_mixed(mixed_before)
+        if self.versions.changes > changes_before and self.on_listed_versions is not None:
+            self.on_listed_versions()
         if changed and self.on_changed_versions is not None:
             self.on_changed_versions(changed)
         self._notify_peers()
         self._deliver(decisions)
 
+    def _merge_versions(self, message: MergeVersions) -> None:
+        mixed_before = self.versions.mixed
+        self.versions.merge(message.history, self._clock())
+        self._report_mixed(mixed_before)
+
+    def _report_mixed(self, mixed_before: frozenset[str]) -> None:
+        newly_mixed = self.versions.mixed - mixed_before
+        if newly_mixed and self.on_mixed_versions is not None:
+            self.on_mixed_versions(newly_mixed)
+
     def _set_boxes(self, message: SetBoxes) -> None:
         if not self.boxes.is_update(message.version):
             return
--- a/packages/router/seamhold/decisions.py
+++ b/packages/router/seamhold/decisions.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from seamhold_attempts.retry import Outcome
-from seamhold_membership import Digest
+from seamhold_membership import Digest, VersionHistory
 from seamhold_messages.fleet import Box, Engine, Evacuation, Phase
 from seamhold_messages.work import Call, Holding
 from seamhold_quarantine import Case, EndReport, Feature, Standing, TrialRequest, TrialResult
@@ -199,6 +199,16 @@
     version: int = 0
 
 
+class MergeVersions(Struct):
+    """Adds what the store or a peer knows of the software versions of engines."""
+
+    history: VersionHistory
+
+
+class GetVersionHistory(Query):
+    """Requests what this box knows of the software versions; the reply is VersionHistory."""
+
+
 class SetEvacuations(Struct):
     """Sets the list of evacuated failure domains from the platform, as of `version`.
 
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -1,6 +1,7 @@
 """Assembles and runs a box that forwards requests in a platform's dialect."""
 
 import gc
+import math
 import os
 import queue
 import random
@@ -10,6 +11,7 @@
 
 from msgspec import to_builtins
 
+from seamhold_membership import VersionHistory
 from seamhold_messages.fleet import Box, Engine, is_update_for_engine
 from seamhold_platform import ObjectKind
 from seamhold_routing import Router
@@ -105,6 +107,8 @@
         self.store = dialect.store(config.platform_url)
         router = Router(config.box, self.incarnation, failure_domain=config.failure_domain)
         router.slots.wait_for_peers()
+        if config.first_start:
+            router.versions.merge(VersionHistory(known_seconds=math.inf), clock())
         self.decider = Decider(router, clock, config.evacuations)
         self.settings_task = SettingsTask(self.metrics, self._settings_changed)
         self.budgets = RetryBudgets(clock)
--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -159,9 +159,8 @@
             origin = self._origins.find(
                 found.workspace, found.route.host, metadata.resumes, found.service
             )
-            if origin is not None:
-                found = follow_origin(table, found, origin)
-                version = origin.version
+            found = follow_origin(table, found, origin)
+            version = origin.version
         return prepare(table, self._dialect, found, head, body, now, version)
 
     def _request_id(self, request: HTTPRequest) -> str:
--- a/packages/router/seamhold/stream_origins.py
+++ b/packages/router/seamhold/stream_origins.py
@@ -8,7 +8,7 @@
 import asyncio
 import threading
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import TimeoutError as FutureTimeout
 
 from msgspec.structs import replace
@@ -20,7 +20,8 @@
     StreamTable,
     stream_key,
 )
-from seamhold_membership import ServiceVersions
+from seamhold_membership import KnownVersions, ServiceVersions, UnknownReason, sole_version
+from seamhold_membership.versions import REMEMBERED_SECONDS
 from seamhold_messages.errors import StreamOriginUnknown
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Placed
@@ -159,8 +160,8 @@
 
     # Streams that callers take up.
 
-    def find(self, workspace: str, host: str, request_id: str, service: str) -> StreamOrigin | None:
-        """Return the origin of a stream, None if its service has no engine to go on at.
+    def find(self, workspace: str, host: str, request_id: str, service: str) -> StreamOrigin:
+        """Return the origin of a stream that a caller takes up at `service`.
 
         `request_id` is the request that brought the first event, '' if the caller named none.
         Raises StreamOriginUnknown if the stream may have begun at another version than it
@@ -176,13 +177,13 @@
             self._log_found(key, origin, 'own_record')
         else:
             origin = self._ask_peers(StreamQuery(key, service))
-        if origin is not None and not origin.is_certain:
-            raise self._unknown('its engine changed its version', None, frozenset())
+        if not origin.is_certain:
+            raise self._unknown('its engine changed its version')
         return origin
 
-    def _ask_peers(self, query: StreamQuery) -> StreamOrigin | None:
+    def _ask_peers(self, query: StreamQuery) -> StreamOrigin:
         names = [name for name in self._owners(query.key) if name != self._box]
-        versions = self._versions.known.get(query.service, frozenset())
+        known = [self._known(query.service)]
         answered = 0
         for group in (names[:OWNER_COUNT], names[OWNER_COUNT:]):
             replies = self._replies(query, group)
@@ -191,36 +192,55 @@
                 self._log_found(query.key, found, 'peer_record')
                 return found
             answered += len(replies)
-            versions = versions.union(*(reply.versions for reply in replies))
-            if answered and len(versions) <= 1:
+            known += [KnownVersions(reply.versions, reply.known_seconds) for reply in replies]
+            sole = sole_version(known)
+            if answered and sole.unknown is None:
                 break
         has_peers = any(box.name != self._box for box in self._peering.roster.boxes)
         if has_peers and not answered:
-            raise self._unknown('no other box answered', RETRY_AFTER_SECONDS, versions)
-        if len(versions) > 1:
-            raise self._unknown('no box that answered knows its version', None, versions)
-        origin = StreamOrigin(query.service, *versions) if versions else None
-        self._log_found(query.key, origin, 'only_version', answered=answered)
+            raise self._unknown('no other box answered', RETRY_AFTER_SECONDS, known)
+        if sole.unknown is not None:
+            several = sole.unknown is UnknownReason.SEVERAL
+            raise self._unknown(sole.unknown, None if several else RETRY_AFTER_SECONDS, known)
+        origin = StreamOrigin(query.service, sole.version)
+        self._log_found(query.key, origin, 'only_version', known)
         return origin
 
-    def _log_found(self, key: str, origin: StreamOrigin | None, source: str, **more: int) -> None:
+    def _known(self, service: str) -> KnownVersions:
+        versions = self._versions.known.get(service, frozenset())
+        return KnownVersions(versions, self._versions.known_seconds(self._clock()))
+
+    def _log_found(
+        self,
+        key: str,
+        origin: StreamOrigin,
+        source: str,
+        known: Sequence[KnownVersions] = (),
+    ) -> None:
         """Log what decided at which version a stream goes on."""
-        version = '' if origin is None else origin.version
-        up_seconds = round(self._clock() - self._started_at, 3)
         self._log.info(
             'stream.origin_found',
             stream=key,
             source=source,
-            version=version,
-            up_seconds=up_seconds,
-            **more,
+            version=origin.version,
+            up_seconds=round(self._clock() - self._started_at, 3),
+            known_seconds=_rounded_seconds(known),
         )
 
     def _unknown(
-        self, detail: str, retry_after: float | None, versions: frozenset[str]
+        self,
+        detail: str,
+        retry_after: float | None = None,
+        known: Sequence[KnownVersions] = (),
     ) -> StreamOriginUnknown:
         self._metrics.count('streams.origin_unknown')
-        self._log.warning('stream.origin_unknown', detail=detail, versions=sorted(versions))
+        versions: frozenset[str] = frozenset().union(*(one.versions for one in known))
+        self._log.warning(
+            'stream.origin_unknown',
+            detail=detail,
+            versions=sorted(versions),
+            known_seconds=_rounded_seconds(known),
+        )
         return StreamOriginUnknown(f'this stream cannot be taken up: {detail}', retry_after)
 
     def _replies(self, query: StreamQuery, names: list[str]) -> list[StreamReply]:
@@ -272,7 +292,8 @@
         """Return what this box knows of a stream's origin."""
         with self._lock:
             origin = self._table.find(query.key, self._clock())
-        return StreamReply(origin, self._versions.known.get(query.service, frozenset()))
+        known = self._known(query.service)
+        return StreamReply(origin, known.versions, known.known_seconds)
 
     def _owners(self, key: str) -> list[str]:
         """Return the boxes that are asked about a stream, its owners first."""
@@ -284,3 +305,8 @@
         if group not in ranked:
             ranked[group] = owners(f'streams-{group}', boxes, ASKED_MAX)
         return ranked[group]
+
+
+def _rounded_seconds(known: Sequence[KnownVersions]) -> list[float]:
+    """Return for how long each box has seen the versions, this one first, as far as it matters."""
+    return [round(min(one.known_seconds, REMEMBERED_SECONDS), 1) for one in known]
