Report a peer connection that is lost before its first stream as the peer's error

The end of a call on a connection now turns that into ConnectionResetError, which the hedge and the tunnels handle. The new test fails before (AttributeError) and passes; 28 tests of tunnels and peer connections pass.

--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -105,11 +105,15 @@
         self._calls += 1
         return self.stub
 
-    def __exit__(self, *_) -> None:
-        """End a call."""
+    def __exit__(self, _, error: BaseException | None, __) -> None:
+        """End a call; raises ConnectionResetError if the library met a closed connection."""
+        lost = isinstance(error, AttributeError) and self.is_closing
         self._calls -= 1
         if self._retired and not self._calls:
             self.close()
+        if lost:
+            # The library drops its transport when it closes, and uses it for the next stream.
+            raise ConnectionResetError('the connection to the peer was closed') from error
 
     def retire(self) -> None:
         """Close the channel once no call uses it."""
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -3,8 +3,10 @@
 import asyncio
 from contextlib import asynccontextmanager
 from typing import Any
+from unittest import mock
 
 import testtools
+from grpclib.client import Channel
 
 from seamhold_peers import (
     LivenessQuery,
@@ -205,3 +207,22 @@
                 self.close(client._connection)
 
         self.run_with(scenario)
+
+    def test_a_connection_lost_before_its_first_stream_is_an_error_of_the_peer(self):
+        async def scenario(client):
+            connect = Channel.__connect__
+
+            async def connect_and_lose(channel):
+                protocol = await connect(channel)
+                protocol.processor.connection.close()
+                return protocol
+
+            with mock.patch.object(Channel, '__connect__', connect_and_lose):
+                for call in (
+                    client.open_tunnel(REQUEST, OPEN_SECONDS),
+                    client.find_liveness(LivenessQuery('i-1', '')),
+                ):
+                    with self.assertRaisesRegex(ConnectionResetError, 'closed'):
+                        await call
+
+        self.run_with(scenario)
