Take a refused connection for a server's end only where others accept

EngineAccess.find_liveness now serves both, the box's own look and the carrier's: a refusal counts if another server accepts or there is none to compare with, else the liveness is unknown and peers are asked.

--- a/packages/router/seamhold/forwarding/backends.py
+++ b/packages/router/seamhold/forwarding/backends.py
@@ -348,8 +348,10 @@
         """
         if isinstance(connected, TunnelSocket) and connected.liveness in KNOWN_LIVENESS:
             return Liveness(connected.liveness)
-        cut_off = self._access is not None and self._access.is_cut_off(placed.engine)
-        liveness = Liveness.UNKNOWN if cut_off else liveness_at(placed.address)
+        if self._access is None:
+            liveness = liveness_at(placed.address)
+        else:
+            liveness = self._access.find_liveness(placed.engine, placed.address)
         if liveness is Liveness.UNKNOWN and self._tunnels is not None:
             return self._tunnels.find_liveness(placed)
         return liveness
--- a/packages/router/seamhold/forwarding/carrier.py
+++ b/packages/router/seamhold/forwarding/carrier.py
@@ -19,7 +19,6 @@
 
 from ..gate import Gate
 from ..metrics import Metrics
-from ..probing import liveness_at
 from .backends import CONNECT_SECONDS, SOCKET_OPTIONS
 from .engine_access import EngineAccess
 
@@ -59,9 +58,12 @@
     async def find_liveness(self, query: LivenessQuery) -> LivenessReply:
         """Find out whether an engine is alive, as far as this box reaches it."""
         engine = self._listed(query.engine, query.incarnation)
-        if engine is None or self._access.is_cut_off(engine.name):
+        if engine is None:
             return LivenessReply()
-        return LivenessReply(await _check_liveness(engine.address))
+        return LivenessReply(await self._check_liveness(engine))
+
+    async def _check_liveness(self, engine: Engine) -> str:
+        return await asyncio.to_thread(self._access.find_liveness, engine.name, engine.address)
 
     def _listed(self, name: str, incarnation: str) -> Engine | None:
         engine = self._access.engine(name)
@@ -86,8 +88,4 @@
         connected = writer.get_extra_info('socket')
         for level, option, value in SOCKET_OPTIONS:
             connected.setsockopt(level, option, value)
-        return Connection(reader, writer, functools.partial(_check_liveness, engine.address))
-
-
-async def _check_liveness(address: str) -> str:
-    return await asyncio.to_thread(liveness_at, address)
+        return Connection(reader, writer, functools.partial(self._check_liveness, engine))
--- a/packages/router/seamhold/forwarding/engine_access.py
+++ b/packages/router/seamhold/forwarding/engine_access.py
@@ -11,6 +11,7 @@
 from ..decider import Decider
 from ..logs import logger
 from ..metrics import Metrics
+from ..probing import Liveness, liveness_at
 
 #: Limit on connecting to an engine to find out whether the box reaches it, in seconds.
 PROBE_SECONDS = 0.15
@@ -139,6 +140,18 @@
                 return False
         return False
 
+    def find_liveness(self, engine: str, address: str) -> Liveness:
+        """Return whether the process of an engine at `address` is alive, as far as it shows here.
+
+        A box that was just cut off may be refused by all engines.
+        """
+        if self.is_cut_off(engine):
+            return Liveness.UNKNOWN
+        liveness = liveness_at(address)
+        if liveness is Liveness.ENDED and not self.reaches_others(engine):
+            return Liveness.UNKNOWN
+        return liveness
+
     def _probe(self, engine: Engine) -> bool:
         """Connect to an engine and close the connection; whether it took it."""
         host, _, port = engine.address.rpartition(':')
