Split the records of streams from finding out an origin

stream_origins.py did two jobs at some 300 lines: it kept records and sent them to their owners, and it found out what a stream that is taken up is bound to. stream_records.py (StreamRecordStore) has the first now, stream_origins.py (StreamOrigins) the second. GROUPS and stream_group stand beside stream_key. Nothing behaves otherwise.

--- a/packages/attempts/seamhold_attempts/streams.py
+++ b/packages/attempts/seamhold_attempts/streams.py
@@ -12,6 +12,9 @@
 from msgspec.structs import replace
 
 KEY_BYTES = 16
+#: Streams are divided into so many groups, each with its own owners.  This bounds the boxes
+#: that one box sends records to, and the records that one message holds are more.
+GROUPS = 256
 #: Records that a box holds; beyond this limit the workspace with the most loses its oldest.
 STREAMS_MAX = 65_536
 STREAMS_DROPPED = 4_096
@@ -61,6 +64,11 @@
     return hashed.hexdigest()
 
 
+def stream_group(key: str) -> int:
+    """Return the group of a stream, below GROUPS."""
+    return int(key[:4], 16) % GROUPS
+
+
 class StreamTable:
     """The records that one box holds, in the order in which they came."""
 
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -45,6 +45,7 @@
 from ..settings_task import SettingsTask
 from ..status import ExitStatus
 from ..stream_origins import StreamOrigins
+from ..stream_records import StreamRecordStore
 from ..trials import Trials
 from .backends import BackendConnections
 from .box_memory import box_memory_bytes
@@ -138,11 +139,13 @@
         trials = Trials(
             config.box, self.decider, self.peering, self.cases, environment, self.metrics
         )
+        versions = self.decider.versions
+        self.records = StreamRecordStore(config.box, self.peering, versions, clock, self.metrics)
         self.origins = StreamOrigins(
-            config.box, self.peering, self.decider.versions, clock, self.metrics
+            config.box, self.peering, self.records, versions, clock, self.metrics
         )
-        self.decider.on_mixed_versions = self.origins.services_mixed
-        self.decider.on_changed_versions = self.origins.engines_changed
+        self.decider.on_mixed_versions = self.records.services_mixed
+        self.decider.on_changed_versions = self.records.engines_changed
         self.runner = Runner(
             self.decider,
             self.backends,
@@ -150,7 +153,7 @@
             environment,
             self.metrics,
             trials,
-            self.origins,
+            self.records,
         )
         self.registration = Registration(
             Box(config.box, config.peer_listen, config.failure_domain),
@@ -319,6 +322,7 @@
                 self.settings_task,
                 self.peering.holdings,
                 Carrier(self.access, self.gate, self.metrics),
+                self.records,
                 self.origins,
             )
         )
--- a/packages/router/seamhold/forwarding/peer_handler.py
+++ b/packages/router/seamhold/forwarding/peer_handler.py
@@ -31,6 +31,7 @@
 from ..holdings_pull import HoldingsPull
 from ..settings_task import GetNewerSettings, SettingsTask
 from ..stream_origins import StreamOrigins
+from ..stream_records import StreamRecordStore
 from .carrier import Carrier
 
 
@@ -46,9 +47,11 @@
         settings_task: SettingsTask,
         holdings: HoldingsPull,
         carrier: Carrier,
+        records: StreamRecordStore,
         origins: StreamOrigins,
     ):
         super().__init__(decider)
+        self._records = records
         self._origins = origins
         self._carrier = carrier
         self._settings_task = settings_task
@@ -82,7 +85,7 @@
 
     async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
         """Keep records of streams that began at a peer."""
-        self._origins.keep(records)
+        self._records.keep(records)
 
     async def find_stream(self, query: StreamQuery) -> StreamReply:
         """Return what this box knows of a stream's origin."""
--- a/packages/router/seamhold/runner.py
+++ b/packages/router/seamhold/runner.py
@@ -48,7 +48,7 @@
     StreamCheck,
     whole_body,
 )
-from .stream_origins import StreamOrigins
+from .stream_records import StreamRecordStore
 from .trials import TRIAL_WAIT_SECONDS, TrialRun, Trials
 
 #: Time for the decider to reply after a call's deadline, in seconds.
@@ -77,11 +77,11 @@
         environment: Environment,
         metrics: Metrics,
         trials: Trials,
-        origins: StreamOrigins | None = None,
+        stream_records: StreamRecordStore | None = None,
     ):
         self._decider = decider
         self._trials = trials
-        self._origins = origins
+        self._stream_records = stream_records
         self._engines = engines
         self._budgets = budgets
         self._environment = environment
@@ -398,14 +398,14 @@
         """Bind a stream to the software version that sends its first events."""
         if job.call.version is None:
             job.call = replace(job.call, version=placed.version)
-        if job.stream_key and not job.origin_recorded and self._origins is not None:
+        if job.stream_key and not job.origin_recorded and self._stream_records is not None:
             job.origin_recorded = True
-            self._origins.record(job, placed)
+            self._stream_records.record(job, placed)
 
     def _is_origin_certain(self, job: Job) -> bool:
-        if not job.origin_recorded or self._origins is None:
+        if not job.origin_recorded or self._stream_records is None:
             return True
-        return self._origins.is_certain(job)
+        return self._stream_records.is_certain(job)
 
     def _resume(self, job: Job, placed: Placed, watch: StreamCheck) -> OpenAnswer:
         """Open the remainder of the stream at another engine."""
--- a/packages/router/seamhold/stream_origins.py
+++ b/packages/router/seamhold/stream_origins.py
@@ -1,53 +1,25 @@
-"""Finds out what a stream that a caller takes up is bound to.
+"""Finds out which service and software version began a stream that a caller takes up.
 
-The box that began a stream may be gone by then, so other boxes keep records as well: while a
-service has engines of several software versions, its owners learn of each stream before the
-caller gets the first event.  With one version there is nothing to choose, and nothing is sent.
+The box that began the stream may be gone by then: the owners of its record are asked, and further
+boxes if they do not know.
 """
 
 import asyncio
-import threading
-from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from concurrent.futures import TimeoutError as FutureTimeout
 
-from msgspec.structs import replace
-
-from seamhold_attempts.streams import (
-    UNCERTAIN,
-    StreamOrigin,
-    StreamRecord,
-    StreamTable,
-    stream_key,
-)
+from seamhold_attempts.streams import StreamOrigin, stream_group, stream_key
 from seamhold_membership import KnownVersions, ServiceVersions, UnknownReason, sole_version
 from seamhold_membership.versions import REMEMBERED_SECONDS
 from seamhold_messages.errors import StreamOriginUnknown
-from seamhold_messages.hashing import hash32
-from seamhold_messages.work import Placed
 from seamhold_peers import PeerClient, StreamQuery, StreamReply
 from seamhold_peers.client import FIND_STREAM_SECONDS, PEER_ERRORS
-from seamhold_placement.rank import owners
 
-from .job import Job
 from .logs import logger
 from .metrics import Metrics
 from .peering import Peering
+from .stream_records import OWNER_COUNT, StreamRecordStore
 
-#: Number of boxes that keep a record besides the box that began the stream.
-OWNER_COUNT = 3
-#: Number of boxes that are asked if the owners have no record, for example after a restart.
-ASKED_MAX = 8
-#: Streams are divided into so many groups, each with its own owners.  This bounds the boxes
-#: that one box sends records to, and the records that one message holds are more.
-GROUPS = 256
-#: A record is kept for so long after the caller's time has passed, in seconds.
-KEPT_AFTER_SECONDS = 10.0
-#: The list of engines is at most this late, in seconds, where a box is in touch with its peers.
-LIST_LAG_SECONDS = 3.0
-#: Limits on the records that wait for a peer, and on those in one message.
-OUTBOX_MAX = 16_384
-BATCH_MAX = 1_024
 #: When a caller may come back whose stream's owners did not answer, in seconds.
 RETRY_AFTER_SECONDS = 0.5
 #: Time for a reply to pass from one thread to another, in seconds.
@@ -55,110 +27,25 @@
 
 
 class StreamOrigins:
-    """Records which service and software version began each stream, here and at peers."""
+    """Finds the origins of streams, in this box's records or at peers."""
 
     def __init__(
         self,
         box: str,
         peering: Peering,
+        records: StreamRecordStore,
         versions: ServiceVersions,
         clock: Callable[[], float],
         metrics: Metrics,
     ):
         self._box = box
         self._peering = peering
+        self._records = records
         self._versions = versions
         self._clock = clock
         self._started_at = clock()
         self._metrics = metrics
         self._log = logger('stream-origins')
-        self._table = StreamTable()
-        #: Streams that began here lately: when, at which engine, and their records.
-        self._begun: deque[tuple[float, str, StreamRecord]] = deque()
-        self._lock = threading.Lock()
-        #: Records that wait for the message to a peer, by its name.  Used on the loop only.
-        self._outboxes: dict[str, list[StreamRecord]] = {}
-        #: The owners of each group, for the boxes that they were ranked from.
-        self._ranked: tuple[tuple[str, ...], dict[int, list[str]]] = ((), {})
-
-    # Streams that begin at this box.
-
-    def record(self, job: Job, placed: Placed) -> None:
-        """Record the origin of a stream before its first event is passed on."""
-        call = job.call
-        now = self._clock()
-        seconds = max(0.0, job.caller_waits_until - now) + KEPT_AFTER_SECONDS
-        origin = StreamOrigin(call.service, placed.version)
-        record = StreamRecord(job.stream_key, hash32(call.workspace), origin, seconds)
-        with self._lock:
-            self._begun.append((now, placed.engine, record))
-            while self._begun[0][0] < now - LIST_LAG_SECONDS:
-                self._begun.popleft()
-        self.keep((record,))
-        if call.service in self._versions.mixed:
-            self._send((record,))
-
-    def is_certain(self, job: Job) -> bool:
-        """Whether the version of a stream that this box runs is still known."""
-        with self._lock:
-            origin = self._table.find(job.stream_key, self._clock())
-        return origin is None or origin.is_certain
-
-    def engines_changed(self, names: frozenset[str]) -> None:
-        """Forget the version of streams that just began at engines whose version changed.
-
-        A server may start again under its id with another version, and the list of servers is a
-        little late: such a stream may have begun at either.
-        """
-        since = self._clock() - LIST_LAG_SECONDS
-        with self._lock:
-            begun = [one for at, engine, one in self._begun if at >= since and engine in names]
-        records = [
-            replace(record, origin=StreamOrigin(record.origin.service, UNCERTAIN))
-            for record in begun
-        ]
-        self._log.info('versions.changed', engines=sorted(names), records=len(records))
-        self.keep(records)
-        self._send(records)
-
-    def services_mixed(self, services: frozenset[str]) -> None:
-        """Send the records of streams that began while these services had one version."""
-        with self._lock:
-            records = self._table.of_services(services, self._clock())
-        self._log.info('versions.mixed', services=sorted(services), records=len(records))
-        self._send(records)
-
-    def _send(self, records: Iterable[StreamRecord]) -> None:
-        for record in records:
-            for name in self._owners(record.key)[:OWNER_COUNT]:
-                if name != self._box:
-                    self._peering.call_soon(self._put, name, record)
-
-    def _put(self, name: str, record: StreamRecord) -> None:
-        """Add a record to a peer's outbox; start sending unless a message is on its way."""
-        outbox = self._outboxes.get(name)
-        if outbox is None:
-            self._outboxes[name] = [record]
-            self._peering.start_task(self._empty_outbox(name))
-        elif len(outbox) < OUTBOX_MAX:
-            outbox.append(record)
-        else:
-            self._metrics.count('streams.records_dropped')
-
-    async def _empty_outbox(self, name: str) -> None:
-        outbox = self._outboxes[name]
-        try:
-            client = await self._peering.connect_to(name)
-            while outbox and client is not None:
-                batch, outbox[:] = outbox[:BATCH_MAX], outbox[BATCH_MAX:]
-                await client.record_streams(tuple(batch))
-        except PEER_ERRORS:
-            # The other owners keep the records, too.
-            self._metrics.count('streams.owner_unreachable')
-        finally:
-            del self._outboxes[name]
-
-    # Streams that callers take up.
 
     def find(self, workspace: str, host: str, request_id: str, service: str) -> StreamOrigin:
         """Return the origin of a stream that a caller takes up at `service`.
@@ -168,11 +55,7 @@
         would go on at.
         """
         key = stream_key(workspace, host, request_id)
-        if request_id:
-            with self._lock:
-                origin = self._table.find(key, self._clock())
-        else:
-            origin = None
+        origin = self._records.find(key) if request_id else None
         if origin is not None:
             self._log_found(key, origin, 'own_record')
         else:
@@ -182,7 +65,8 @@
         return origin
 
     def _ask_peers(self, query: StreamQuery) -> StreamOrigin:
-        names = [name for name in self._owners(query.key) if name != self._box]
+        ranked = self._records.ranked(stream_group(query.key))
+        names = [name for name in ranked if name != self._box]
         known = [self._known(query.service)]
         answered = 0
         for group in (names[:OWNER_COUNT], names[OWNER_COUNT:]):
@@ -279,33 +163,12 @@
             self._metrics.count('streams.owner_unreachable')
             return None
 
-    # Requests of peers.
-
-    def keep(self, records: Iterable[StreamRecord]) -> None:
-        """Keep records of streams."""
-        now = self._clock()
-        with self._lock:
-            for record in records:
-                self._table.record(record, now)
-
     def reply(self, query: StreamQuery) -> StreamReply:
         """Return what this box knows of a stream's origin."""
-        with self._lock:
-            origin = self._table.find(query.key, self._clock())
+        origin = self._records.find(query.key)
         known = self._known(query.service)
         return StreamReply(origin, known.versions, known.known_seconds)
 
-    def _owners(self, key: str) -> list[str]:
-        """Return the boxes that are asked about a stream, its owners first."""
-        boxes = tuple(self._peering.roster.responsive_boxes)
-        group = int(key[:4], 16) % GROUPS
-        if self._ranked[0] != boxes:
-            self._ranked = (boxes, {})
-        ranked = self._ranked[1]
-        if group not in ranked:
-            ranked[group] = owners(f'streams-{group}', boxes, ASKED_MAX)
-        return ranked[group]
-
 
 def _rounded_seconds(known: Sequence[KnownVersions]) -> list[float]:
     """Return for how long each box has seen the versions, this one first, as far as it matters."""
