Pull the records of a group from its other holders after a box has started

Callers saw streams refused (503 stream_origin_unknown) that could go on: both versions still served, but the boxes had restarted one after another.

Cause: three boxes by rank own a group's records while its service has several versions. A box that was killed and is back is an owner again with an empty table, and nobody gave the records back; once all owners and the box that began a stream have restarted, its origin is lost.

Change: a starting box asks the boxes of the first five ranks of each group that it owns (three owners, and two that owned it while others were away) by a new call, PullStreams. A peer sends only records of services that are mixed there, the oldest first, 1,024 a page; the box goes on by number, so a second pull brings only what is new. A pull takes at most 16 pages, is repeated after a second and ends 10 s after the start; a peer that has restarted or is itself about to pull is asked again. A peer that lacks the call refuses it, once a second for these 10 s, and holds up nothing. A record that arrives never makes a known origin more certain.

--- a/packages/attempts/seamhold_attempts/__init__.py
+++ b/packages/attempts/seamhold_attempts/__init__.py
@@ -2,7 +2,7 @@
 
 from .claims import ClaimBucket, ClaimState, claim_bucket_of
 from .retry import Outcome, RetryBudget, RetryRule, may_retry
-from .streams import StreamOrigin, StreamRecord, StreamTable, stream_key
+from .streams import StreamOrigin, StreamPage, StreamRecord, StreamTable, stream_key
 from .tickets import TicketState, TicketStore, parse_ticket
 
 __all__ = [
@@ -12,6 +12,7 @@
     'RetryBudget',
     'RetryRule',
     'StreamOrigin',
+    'StreamPage',
     'StreamRecord',
     'StreamTable',
     'TicketState',
--- a/packages/attempts/seamhold_attempts/streams.py
+++ b/packages/attempts/seamhold_attempts/streams.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Container
+from collections.abc import Container, Mapping
 from hashlib import blake2b
 
 from msgspec import Struct
@@ -69,52 +69,102 @@
     return int(key[:4], 16) % GROUPS
 
 
+class StreamPage(Struct, frozen=True):
+    """Some of a box's records, up to the one with number `last`; `more` tells that others follow.
+
+    A box numbers its records as they come; the numbers of another start of it do not compare.
+    `settled` states that the box itself is not about to pull records that others have.
+    """
+
+    records: tuple[StreamRecord, ...] = ()
+    last: int = 0
+    more: bool = False
+    settled: bool = True
+
+
+class _Entry(Struct):
+    """A record, the time at which it is dropped, and its number in the table."""
+
+    record: StreamRecord
+    until: float
+    number: int
+
+    def with_seconds_left(self, now: float) -> StreamRecord:
+        return replace(self.record, seconds=self.until - now)
+
+
 class StreamTable:
     """The records that one box holds, in the order in which they came."""
 
     def __init__(self, size: int = STREAMS_MAX, dropped: int = STREAMS_DROPPED):
         self._size = size
         self._dropped = dropped
-        #: Records by key, with the time at which each is dropped.
-        self._records: dict[str, tuple[StreamRecord, float]] = {}
+        self._records: dict[str, _Entry] = {}
+        #: The number of the newest record; the first is 1.
+        self._last = 0
 
     def __len__(self) -> int:
         return len(self._records)
 
     def record(self, record: StreamRecord, now: float) -> None:
         """Add a record; a known origin can only become uncertain."""
-        known = self._records.pop(record.key, None)
+        known = self._records.get(record.key)
         until = now + min(record.seconds, KEPT_MAX_SECONDS)
         if known is not None:
-            record = known[0] if record.origin.is_certain else record
-            until = max(until, known[1])
-        self._records[record.key] = (record, until)
+            known.until = until = max(known.until, until)
+            if record.origin.is_certain or not known.record.origin.is_certain:
+                return
+            # It is numbered anew, so that a box that has the older record pulls it.
+            del self._records[record.key]
+        self._last += 1
+        self._records[record.key] = _Entry(record, until, self._last)
         if len(self._records) > self._size:
             self._make_room(now)
 
     def find(self, key: str, now: float) -> StreamOrigin | None:
         """Return the origin of a stream, None if it is not known."""
-        record, until = self._records.get(key, (None, now))
-        return record.origin if record is not None and now < until else None
+        entry = self._records.get(key)
+        return entry.record.origin if entry is not None and now < entry.until else None
 
     def of_services(self, services: Container[str], now: float) -> list[StreamRecord]:
         """Return the records of these services, with the seconds that are left of each."""
         return [
-            replace(record, seconds=until - now)
-            for record, until in self._records.values()
-            if record.origin.service in services and now < until
+            entry.with_seconds_left(now)
+            for entry in self._records.values()
+            if entry.record.origin.service in services and now < entry.until
         ]
 
+    def page(
+        self, services: Container[str], groups: Mapping[int, int], limit: int, now: float
+    ) -> StreamPage:
+        """Return records of these services, the oldest first, at most `limit`.
+
+        `groups` has, by group, the number after which its records are wanted.
+        """
+        first = last = min(groups.values(), default=self._last)
+        records: list[StreamRecord] = []
+        for entry in self._records.values():
+            if entry.number <= first:
+                continue
+            record = entry.record
+            if record.origin.service not in services or now >= entry.until:
+                continue
+            if entry.number <= groups.get(stream_group(record.key), self._last):
+                continue
+            if len(records) == limit:
+                return StreamPage(tuple(records), last, more=True)
+            records.append(entry.with_seconds_left(now))
+            last = entry.number
+        return StreamPage(tuple(records), self._last)
+
     def _make_room(self, now: float) -> None:
-        self._records = {
-            key: (record, until) for key, (record, until) in self._records.items() if now < until
-        }
+        self._records = {key: entry for key, entry in self._records.items() if now < entry.until}
         if len(self._records) <= self._size:
             return
-        counts = Counter(record.workspace_key for record, _ in self._records.values())
+        counts = Counter(entry.record.workspace_key for entry in self._records.values())
         largest = max(counts, key=counts.__getitem__)
         oldest = [
-            key for key, (record, _) in self._records.items() if record.workspace_key == largest
+            key for key, entry in self._records.items() if entry.record.workspace_key == largest
         ]
         for key in oldest[: self._dropped]:
             del self._records[key]
--- a/packages/peers/seamhold_peers/__init__.py
+++ b/packages/peers/seamhold_peers/__init__.py
@@ -10,6 +10,7 @@
     LivenessReply,
     RelayedCall,
     StreamQuery,
+    StreamRecordsQuery,
     StreamReply,
 )
 from .client import PeerClient
@@ -40,6 +41,7 @@
     'PeerServer',
     'RelayedCall',
     'StreamQuery',
+    'StreamRecordsQuery',
     'StreamReply',
     'Tunnel',
     'TunnelFailed',
--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -105,3 +105,12 @@
     origin: StreamOrigin | None = None
     versions: frozenset[str] = frozenset()
     known_seconds: float = 0.0
+
+
+class StreamRecordsQuery(Struct, frozen=True):
+    """Request for records of streams, while their service has several versions.
+
+    `groups` has, by group of streams, the number after which the peer's records are wanted.
+    """
+
+    groups: dict[int, int]
--- a/packages/peers/seamhold_peers/client.py
+++ b/packages/peers/seamhold_peers/client.py
@@ -15,7 +15,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from seamhold_attempts.claims import ClaimState
-from seamhold_attempts.streams import StreamRecord
+from seamhold_attempts.streams import StreamPage, StreamRecord
 from seamhold_messages.errors import ClaimsUnavailable, TicketUnreachable
 from seamhold_messages.work import BoxRetries, Holding
 from seamhold_quarantine import Case, EndReport, Permission, TrialRequest, TrialResult
@@ -30,6 +30,7 @@
     LivenessReply,
     RelayedCall,
     StreamQuery,
+    StreamRecordsQuery,
     StreamReply,
 )
 from .service import PeerStub
@@ -230,6 +231,10 @@
         message = codec.StreamRecords(records)
         await self._call(lambda stub: stub.record_streams(message), PULL_SECONDS)
 
+    async def pull_streams(self, query: StreamRecordsQuery) -> StreamPage:
+        """Return a page of the peer's records of streams; raises one of PEER_ERRORS."""
+        return await self._call(lambda stub: stub.pull_streams(query), PULL_SECONDS)
+
     async def find_stream(self, query: StreamQuery) -> StreamReply:
         """Return what the peer knows of a stream's origin; raises one of PEER_ERRORS."""
         return await self._call(lambda stub: stub.find_stream(query), FIND_STREAM_SECONDS)
--- a/packages/peers/seamhold_peers/server.py
+++ b/packages/peers/seamhold_peers/server.py
@@ -9,7 +9,7 @@
 from grpclib.server import Server
 
 from seamhold_attempts.claims import ClaimState
-from seamhold_attempts.streams import StreamRecord
+from seamhold_attempts.streams import StreamPage, StreamRecord
 from seamhold_messages.errors import SeamholdError
 from seamhold_messages.work import BoxRetries, Holding
 from seamhold_quarantine import Case, EndReport, Permission, TrialRequest, TrialResult
@@ -24,6 +24,7 @@
     LivenessReply,
     RelayedCall,
     StreamQuery,
+    StreamRecordsQuery,
     StreamReply,
 )
 from .service import Path
@@ -72,6 +73,9 @@
     async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
         """Keep records of streams that began at a peer."""
 
+    async def stream_page(self, query: StreamRecordsQuery) -> StreamPage:
+        """Return records of streams for a box that has restarted."""
+
     async def find_stream(self, query: StreamQuery) -> StreamReply:
         """Return what this box knows of a stream's origin."""
 
@@ -160,6 +164,7 @@
             Path.RECORD_STREAMS: Handler(
                 self.record_streams, one, codec.StreamRecords, codec.Acknowledgement
             ),
+            Path.PULL_STREAMS: Handler(self.pull_streams, one, StreamRecordsQuery, StreamPage),
             Path.FIND_STREAM: Handler(self.find_stream, one, StreamQuery, StreamReply),
             Path.FIND_LIVENESS: Handler(self.find_liveness, one, LivenessQuery, LivenessReply),
             Path.TUNNEL: Handler(
@@ -244,6 +249,10 @@
         await self._handler.record_streams(message.records)
         await stream.send_message(codec.Acknowledgement())
 
+    async def pull_streams(self, stream) -> None:
+        """Send records of streams to a box that has restarted."""
+        await stream.send_message(await self._handler.stream_page(await stream.recv_message()))
+
     async def find_stream(self, stream) -> None:
         """Send what this box knows of a stream's origin."""
         await stream.send_message(await self._handler.find_stream(await stream.recv_message()))
--- a/packages/peers/seamhold_peers/service.py
+++ b/packages/peers/seamhold_peers/service.py
@@ -5,6 +5,7 @@
 
 from grpclib.client import Channel, StreamStreamMethod, UnaryStreamMethod, UnaryUnaryMethod
 
+from seamhold_attempts.streams import StreamPage
 from seamhold_messages.work import BoxRetries
 from seamhold_quarantine import Permission, TrialRequest, TrialResult
 
@@ -15,6 +16,7 @@
     LivenessReply,
     RelayedCall,
     StreamQuery,
+    StreamRecordsQuery,
     StreamReply,
 )
 from .tunnel import TunnelMessage
@@ -35,6 +37,7 @@
     ASK_TRIAL = '/seamhold.peers.v1.Peers/AskTrial'
     END_TRIAL = '/seamhold.peers.v1.Peers/EndTrial'
     RECORD_STREAMS = '/seamhold.peers.v1.Peers/RecordStreams'
+    PULL_STREAMS = '/seamhold.peers.v1.Peers/PullStreams'
     FIND_STREAM = '/seamhold.peers.v1.Peers/FindStream'
     FIND_LIVENESS = '/seamhold.peers.v1.Peers/FindLiveness'
     TUNNEL = '/seamhold.peers.v1.Peers/Tunnel'
@@ -74,6 +77,9 @@
         self.record_streams = UnaryUnaryMethod(
             channel, Path.RECORD_STREAMS, codec.StreamRecords, codec.Acknowledgement
         )
+        self.pull_streams = UnaryUnaryMethod(
+            channel, Path.PULL_STREAMS, StreamRecordsQuery, StreamPage
+        )
         self.find_stream = UnaryUnaryMethod(channel, Path.FIND_STREAM, StreamQuery, StreamReply)
         self.find_liveness = UnaryUnaryMethod(
             channel, Path.FIND_LIVENESS, LivenessQuery, LivenessReply
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -46,6 +46,7 @@
 from ..status import ExitStatus
 from ..stream_origins import StreamOrigins
 from ..stream_records import StreamRecordStore
+from ..stream_records_pull import StreamRecordsPull
 from ..trials import Trials
 from .backends import BackendConnections
 from .box_memory import box_memory_bytes
@@ -141,6 +142,10 @@
         )
         versions = self.decider.versions
         self.records = StreamRecordStore(config.box, self.peering, versions, clock, self.metrics)
+        self.records_pull = StreamRecordsPull(
+            config.box, self.peering, self.records, clock, self.metrics
+        )
+        self.peering.on_roster = self.records_pull.roster_updated
         self.origins = StreamOrigins(
             config.box, self.peering, self.records, versions, clock, self.metrics
         )
@@ -323,6 +328,7 @@
                 self.peering.holdings,
                 Carrier(self.access, self.gate, self.metrics),
                 self.records,
+                self.records_pull,
                 self.origins,
             )
         )
--- a/packages/router/seamhold/forwarding/peer_handler.py
+++ b/packages/router/seamhold/forwarding/peer_handler.py
@@ -7,7 +7,7 @@
 from msgspec.structs import replace
 
 from seamhold_attempts.claims import ClaimState
-from seamhold_attempts.streams import StreamRecord
+from seamhold_attempts.streams import StreamPage, StreamRecord
 from seamhold_messages.errors import ClaimsUnavailable, TicketUnknown
 from seamhold_messages.work import BoxRetries, Holding
 from seamhold_peers import (
@@ -19,6 +19,7 @@
     LivenessReply,
     RelayedCall,
     StreamQuery,
+    StreamRecordsQuery,
     StreamReply,
     TunnelRequest,
 )
@@ -32,6 +33,7 @@
 from ..settings_task import GetNewerSettings, SettingsTask
 from ..stream_origins import StreamOrigins
 from ..stream_records import StreamRecordStore
+from ..stream_records_pull import StreamRecordsPull
 from .carrier import Carrier
 
 
@@ -48,10 +50,12 @@
         holdings: HoldingsPull,
         carrier: Carrier,
         records: StreamRecordStore,
+        records_pull: StreamRecordsPull,
         origins: StreamOrigins,
     ):
         super().__init__(decider)
         self._records = records
+        self._records_pull = records_pull
         self._origins = origins
         self._carrier = carrier
         self._settings_task = settings_task
@@ -87,6 +91,10 @@
         """Keep records of streams that began at a peer."""
         self._records.keep(records)
 
+    async def stream_page(self, query: StreamRecordsQuery) -> StreamPage:
+        """Return records of streams for a peer that has restarted."""
+        return replace(self._records.page(query.groups), settled=self._records_pull.settled)
+
     async def find_stream(self, query: StreamQuery) -> StreamReply:
         """Return what this box knows of a stream's origin."""
         return self._origins.reply(query)
--- a/packages/router/seamhold/peer_handler.py
+++ b/packages/router/seamhold/peer_handler.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from seamhold_attempts.claims import ClaimState
-from seamhold_attempts.streams import StreamRecord
+from seamhold_attempts.streams import StreamPage, StreamRecord
 from seamhold_messages.work import BoxRetries, Holding
 from seamhold_peers import (
     AnswerPart,
@@ -19,6 +19,7 @@
     LivenessReply,
     RelayedCall,
     StreamQuery,
+    StreamRecordsQuery,
     StreamReply,
     TunnelFailed,
     TunnelReply,
@@ -92,6 +93,10 @@
     async def record_streams(self, records: tuple[StreamRecord, ...]) -> None:
         """Keep nothing: callers of this dialect cannot take up a stream."""
 
+    async def stream_page(self, query: StreamRecordsQuery) -> StreamPage:
+        """Return no records: callers of this dialect cannot take up a stream."""
+        return StreamPage()
+
     async def find_stream(self, query: StreamQuery) -> StreamReply:
         """Return that nothing is known of any stream."""
         return StreamReply()
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -105,6 +105,8 @@
         self._urgent = asyncio.Event()
         decider.on_update = self._wake_sender
         decider.cases.on_push = self._push_case
+        #: Called on the loop after each update of the roster.
+        self.on_roster: Callable[[], None] | None = None
         #: Set while neighbours are missing; CasesFollower waits for it.
         self.boxes_missing = threading.Event()
         self._handler: PeerHandler | None = None
@@ -303,6 +305,8 @@
         self._addresses = {box.name: box.peer_address for box in report.boxes}
         self._connect({name: self._addresses[name] for name in report.neighbours})
         self._background.start(self._retries.query_peers(self._clients))
+        if self.on_roster is not None:
+            self.on_roster()
         self.budget.rate = self._settings_task.snapshot.tree.fleet.control.control_bytes_per_second
         if not self.ready:
             await self._pulls.pull_from_each(self._peer_addresses())
--- a/packages/router/seamhold/stream_records.py
+++ b/packages/router/seamhold/stream_records.py
@@ -7,13 +7,14 @@
 
 import threading
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from msgspec.structs import replace
 
 from seamhold_attempts.streams import (
     UNCERTAIN,
     StreamOrigin,
+    StreamPage,
     StreamRecord,
     StreamTable,
     stream_group,
@@ -22,7 +23,7 @@
 from seamhold_messages.hashing import hash32
 from seamhold_messages.work import Placed
 from seamhold_peers.client import PEER_ERRORS
-from seamhold_placement.rank import owners
+from seamhold_placement.rank import Ranking
 
 from .job import Job
 from .logs import logger
@@ -65,8 +66,8 @@
         self._lock = threading.Lock()
         #: Records that wait for the message to a peer, by its name.  Used on the loop only.
         self._outboxes: dict[str, list[StreamRecord]] = {}
-        #: The owners of each group, for the boxes that they were ranked from.
-        self._ranked: tuple[tuple[str, ...], dict[int, list[str]]] = ((), {})
+        #: The boxes that groups are ranked from, and their ranking.  Replaced as a whole.
+        self._ranking: tuple[tuple[str, ...], Ranking] = ((), Ranking())
 
     def keep(self, records: Iterable[StreamRecord]) -> None:
         """Keep records of streams."""
@@ -80,15 +81,26 @@
         with self._lock:
             return self.table.find(key, self._clock())
 
+    def page(self, groups: Mapping[int, int]) -> StreamPage:
+        """Return the next records of mixed services for a peer that has restarted.
+
+        `groups` has, by group, the number after which its records are wanted.
+        """
+        mixed = self._versions.mixed
+        if not mixed:
+            return StreamPage()
+        with self._lock:
+            return self.table.page(mixed, groups, BATCH_MAX, self._clock())
+
     def ranked(self, group: int) -> list[str]:
         """Return the boxes that are asked about the streams of a group, its owners first."""
         boxes = tuple(self._peering.roster.responsive_boxes)
-        if self._ranked[0] != boxes:
-            self._ranked = (boxes, {})
-        ranked = self._ranked[1]
-        if group not in ranked:
-            ranked[group] = owners(f'streams-{group}', boxes, ASKED_MAX)
-        return ranked[group]
+        ranked_boxes, ranking = self._ranking
+        if ranked_boxes != boxes:
+            ranking = Ranking()
+            ranking.set_weights(dict.fromkeys(boxes, 1.0))
+            self._ranking = (boxes, ranking)
+        return ranking.first(f'streams-{group}')[:ASKED_MAX]
 
     # Streams that begin at this box.
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,18 +1,36 @@
 """What boxes keep of streams that callers may take up, and the placement of these."""
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any
 
 import testtools
+from grpclib.server import Server
 
+from seamhold.decisions import BoxReport, DeciderReport
 from seamhold.forwarding.calls import RoutedRequest, follow_origin
-from seamhold_attempts import StreamOrigin, StreamRecord, StreamTable, stream_key
+from seamhold.metrics import Metrics
+from seamhold.stream_records import BATCH_MAX, OUTBOX_MAX, OWNER_COUNT, StreamRecordStore
+from seamhold.stream_records_pull import (
+    HOLDER_COUNT,
+    REPEAT_SECONDS,
+    SEEN_SECONDS,
+    START_SECONDS,
+    StreamRecordsPull,
+    held_groups,
+)
+from seamhold_attempts import StreamOrigin, StreamPage, StreamRecord, StreamTable, stream_key
 from seamhold_attempts.retry import Outcome
-from seamhold_attempts.streams import UNCERTAIN
+from seamhold_attempts.streams import GROUPS, UNCERTAIN
 from seamhold_membership import ServiceVersions
 from seamhold_membership.versions import REMEMBERED_SECONDS
-from seamhold_messages.fleet import Engine
+from seamhold_messages.fleet import Engine, Phase
 from seamhold_messages.work import Call, Placed, Queued, Refused, Work
+from seamhold_peers import PeerClient
+from seamhold_peers.codec import MessageCodec
+from seamhold_peers.server import PeerService
+from seamhold_peers.service import Path
+from seamhold_placement.rank import owners
 from seamhold_routing import Router
 from seamhold_settings.schema import ServiceShare
 
@@ -62,6 +80,42 @@
         table.record(record('b', origin=StreamOrigin('app', 'v1')), 0.0)
         self.assertEqual([record('a', seconds=6.0)], table.of_services({'llm'}, 3.0))
 
+    def test_pages_have_each_record_once_and_end(self):
+        table = StreamTable()
+        keys = [stream_key('w', 'h', str(number)) for number in range(25)]
+        for key in keys:
+            table.record(record(key), 0.0)
+        groups = dict.fromkeys(range(GROUPS), 0)
+        page = StreamPage(more=True)
+        found, sizes = [], []
+        while page.more:
+            page = table.page({'llm'}, groups, 10, 1.0)
+            sizes.append(len(page.records))
+            found += [one.key for one in page.records]
+            groups = dict.fromkeys(groups, page.last)
+        self.assertEqual([10, 10, 5], sizes)
+        self.assertEqual(keys, found)
+        self.assertEqual((), table.page({'llm'}, groups, 10, 1.0).records)
+        table.record(record('00ff'), 1.0)
+        self.assertEqual(['00ff'], [r.key for r in table.page({'llm'}, groups, 10, 1.0).records])
+
+    def test_pages_have_only_the_groups_and_services_asked_for_and_no_expired_record(self):
+        table = StreamTable()
+        table.record(record('0001'), 0.0)
+        table.record(record('0002'), 0.0)
+        table.record(record('0101', origin=StreamOrigin('app', 'v1')), 0.0)
+        table.record(record('0201', seconds=1.0), 0.0)
+        page = table.page({'llm'}, {1: 0}, 10, 2.0)
+        self.assertEqual([record('0001', seconds=7.0)], list(page.records))
+
+    def test_an_origin_that_became_uncertain_is_pulled_again(self):
+        table = StreamTable()
+        table.record(record('0001'), 0.0)
+        last = table.page({'llm'}, {1: 0}, 10, 1.0).last
+        table.record(record('0001', origin=StreamOrigin('llm', UNCERTAIN)), 1.0)
+        (again,) = table.page({'llm'}, {1: last}, 10, 1.0).records
+        self.assertFalse(again.origin.is_certain)
+
     def test_parts_of_a_key_cannot_be_shifted(self):
         keys = {stream_key('ab', 'c', 'd'), stream_key('a', 'bc', 'd'), stream_key('a', 'b', 'cd')}
         self.assertEqual(3, len(keys))
@@ -84,6 +138,137 @@
         self.assertEqual(frozenset(), versions.mixed)
 
 
+class StandInPeering:
+    """Gives clients of peers that are all live; runs on the loop of the test."""
+
+    def __init__(self, box: str, clients: dict[str, Any]):
+        self.clients = clients
+        self.tasks: list[asyncio.Future] = []
+        self.list_boxes(box, dict.fromkeys(clients, 'first'))
+
+    def list_boxes(self, box: str, incarnations: dict[str, str]) -> None:
+        boxes = [BoxReport(name, Phase.LIVE, which, '') for name, which in incarnations.items()]
+        live = (box, *incarnations)
+        self.roster = DeciderReport(0, live, tuple(boxes), tuple(incarnations), (), {})
+
+    async def connect_to(self, name: str) -> Any:
+        return self.clients[name]
+
+    def start_task(self, work) -> None:
+        self.tasks.append(asyncio.ensure_future(work))
+
+
+class StandInPeer:
+    """A peer that answers as its table says, after `seconds`."""
+
+    def __init__(self, seconds: float = 0.0, settled: bool = True):
+        self.table = StreamTable()
+        self.seconds = seconds
+        self.settled = settled
+        self.pulls = 0
+        self.asked = 0
+
+    async def pull_streams(self, query) -> StreamPage:
+        self.pulls += 1
+        page = self.table.page({'llm'}, query.groups, BATCH_MAX, 0.0)
+        return StreamPage(page.records, page.last, page.more, self.settled)
+
+
+class StreamRecordsTestCase(testtools.TestCase):
+    """A box with stand-ins for its peers, and a clock that the test moves."""
+
+    def make_box(self, clients: dict[str, Any]) -> None:
+        self.now = 100.0
+        self.peering: Any = StandInPeering('box', clients)
+        versions = ServiceVersions()
+        versions.set_list([engine('a', 'v1'), engine('b', 'v2')], 0.0)
+        self.metrics = metrics = Metrics()
+        parts = (versions, lambda: self.now, metrics)
+        self.records = StreamRecordStore('box', self.peering, *parts)
+        self.pull = StreamRecordsPull('box', self.peering, self.records, lambda: self.now, metrics)
+
+    async def update_roster(self, seconds: float) -> None:
+        """Let time pass, and wait until the pulls that are due have ended."""
+        self.now += seconds
+        self.pull.roster_updated()
+        await asyncio.gather(*self.peering.tasks)
+
+
+class TestRecordsPull(StreamRecordsTestCase):
+    def test_a_flood_of_records_is_pulled_in_bounded_parts_and_none_is_skipped(self):
+        peer = StandInPeer()
+        for number in range(2 * OUTBOX_MAX + 1):
+            peer.table.record(record(stream_key('w', 'h', str(number))), 0.0)
+
+        async def scenario() -> list[int]:
+            self.make_box({'peer': peer})
+            counts = []
+            for _ in range(4):
+                await self.update_roster(REPEAT_SECONDS)
+                counts.append(len(self.records.table))
+            return counts
+
+        counts = asyncio.run(scenario())
+        self.assertEqual([OUTBOX_MAX, 2 * OUTBOX_MAX] + 2 * [2 * OUTBOX_MAX + 1], counts)
+
+    def test_a_peer_of_an_older_release_without_the_call_keeps_no_record_from_others(self):
+        class OlderService(PeerService):
+            def __mapping__(self):
+                paths = super().__mapping__()
+                del paths[Path.PULL_STREAMS]
+                return paths
+
+        newer = StandInPeer()
+        for number in range(100):
+            newer.table.record(record(stream_key('w', 'h', str(number))), 0.0)
+
+        async def scenario() -> list[int]:
+            handler: Any = None
+            server = Server([OlderService(handler, lambda _: None)], codec=MessageCodec())
+            await server.start('127.0.0.1', 0)
+            listener: Any = server._server
+            client = PeerClient(f'127.0.0.1:{listener.sockets[0].getsockname()[1]}')
+            self.make_box({'older': client, 'newer': newer})
+            counts = []
+            for _ in range(int(2 * START_SECONDS / REPEAT_SECONDS)):
+                await self.update_roster(REPEAT_SECONDS)
+                counts.append(len(self.records.table))
+            client.close()
+            server.close()
+            await server.wait_closed()
+            return counts
+
+        self.assertEqual({100}, set(asyncio.run(scenario())))
+        failed = self.metrics.counts()['streams.pull_failed']
+        self.assertEqual(int(START_SECONDS / REPEAT_SECONDS), failed)
+
+    def test_a_peer_that_restarts_or_that_has_just_started_is_asked_again(self):
+        peers = {'settled': StandInPeer(), 'just-started': StandInPeer(settled=False)}
+
+        async def scenario() -> list[list[int]]:
+            self.make_box(peers)
+            pulls = []
+            for seconds in (0.0, SEEN_SECONDS + 0.1, REPEAT_SECONDS, REPEAT_SECONDS):
+                await self.update_roster(seconds)
+                pulls.append([peer.pulls for peer in peers.values()])
+            self.peering.list_boxes('box', {'settled': 'second', 'just-started': 'first'})
+            for seconds in (REPEAT_SECONDS, START_SECONDS):
+                await self.update_roster(seconds)
+                pulls.append([peer.pulls for peer in peers.values()])
+            return pulls
+
+        self.assertEqual([[1, 1], [2, 2], [2, 3], [2, 4], [3, 5], [3, 5]], asyncio.run(scenario()))
+
+    def test_an_owner_asks_all_boxes_of_a_small_fleet_and_few_of_a_large_one(self):
+        for count, most in ((8, 7), (195, 40)):
+            boxes = [f'box-{number}' for number in range(count)]
+            ranked = [owners(f'streams-{group}', boxes, HOLDER_COUNT) for group in range(GROUPS)]
+            asked = {box: held_groups(box, ranked) for box in boxes}
+            self.assertIn(max(len(held) for held in asked.values()), range(7, most + 1))
+            pairs = sum(len(groups) for held in asked.values() for groups in held.values())
+            self.assertEqual(GROUPS * OWNER_COUNT * (HOLDER_COUNT - 1), pairs)
+
+
 class TestSplitRoutes(testtools.TestCase):
     def test_a_stream_stays_with_its_service_while_its_route_leads_there(self):
         shares = [ServiceShare('llm', 1), ServiceShare('other', 1), ServiceShare('off', 0)]
