Ask the further boxes for a stream's origin while an owner is silent

Callers whose stream's record was with a box behind the first three waited half a second for an owner that does not answer, before that box was asked.

Change: the further boxes are asked 0.1 s after the owners, or at once if all of these answered without a record; the first record counts. An answer by absence still waits for all that were asked. Nothing waits longer than the caller: the entry passes the seconds that are left, and replies that came by then count.

All seven other boxes are asked in a fleet of eight: a test with the record at each rank.

--- a/packages/router/seamhold/forwarding/entry.py
+++ b/packages/router/seamhold/forwarding/entry.py
@@ -157,7 +157,11 @@
         version = None
         if metadata.resume_after and can_be_taken_up(found):
             origin = self._origins.find(
-                found.workspace, found.route.host, metadata.resumes, found.service
+                found.workspace,
+                found.route.host,
+                metadata.resumes,
+                found.service,
+                seconds_left(found),
             )
             found = follow_origin(table, found, origin)
             version = origin.version
--- a/packages/router/seamhold/stream_origins.py
+++ b/packages/router/seamhold/stream_origins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Sequence
 from concurrent.futures import TimeoutError as FutureTimeout
 
@@ -20,6 +21,8 @@
 from .peering import Peering
 from .stream_records import OWNER_COUNT, StreamRecordStore
 
+#: While an owner has not answered for so long, the further boxes are asked, too, in seconds.
+ASK_NEXT_SECONDS = 0.1
 #: When a caller may come back whose stream's owners did not answer, in seconds.
 RETRY_AFTER_SECONDS = 0.5
 #: Time for a reply to pass from one thread to another, in seconds.
@@ -47,10 +50,18 @@
         self._metrics = metrics
         self._log = logger('stream-origins')
 
-    def find(self, workspace: str, host: str, request_id: str, service: str) -> StreamOrigin:
+    def find(
+        self,
+        workspace: str,
+        host: str,
+        request_id: str,
+        service: str,
+        seconds: float = math.inf,
+    ) -> StreamOrigin:
         """Return the origin of a stream that a caller takes up at `service`.
 
         `request_id` is the request that brought the first event, '' if the caller named none.
+        Peers are given at most `seconds`, which the caller still waits.
         Raises StreamOriginUnknown if the stream may have begun at another version than it
         would go on at.
         """
@@ -59,29 +70,24 @@
         if origin is not None:
             self._log_found(key, origin, 'own_record')
         else:
-            origin = self._ask_peers(StreamQuery(key, service))
+            origin = self._ask_peers(StreamQuery(key, service), seconds)
         if not origin.is_certain:
             raise self._unknown('its engine changed its version')
         return origin
 
-    def _ask_peers(self, query: StreamQuery) -> StreamOrigin:
+    def _ask_peers(self, query: StreamQuery, seconds: float) -> StreamOrigin:
         ranked = self._records.ranked(stream_group(query.key))
         names = [name for name in ranked if name != self._box]
-        known = [self._known(query.service)]
-        answered = 0
-        for group in (names[:OWNER_COUNT], names[OWNER_COUNT:]):
-            replies = self._replies(query, group)
-            found = next((reply.origin for reply in replies if reply.origin is not None), None)
-            if found is not None:
-                self._log_found(query.key, found, 'peer_record')
-                return found
-            answered += len(replies)
-            known += [KnownVersions(reply.versions, reply.known_seconds) for reply in replies]
-            sole = sole_version(known)
-            if answered and sole.unknown is None:
-                break
+        groups = [group for group in (names[:OWNER_COUNT], names[OWNER_COUNT:]) if group]
+        replies = self._replies(query, groups, seconds)
+        found = next((reply.origin for reply in replies if reply.origin is not None), None)
+        if found is not None:
+            self._log_found(query.key, found, 'peer_record')
+            return found
+        known = self._all_known(query, replies)
+        sole = sole_version(known)
         has_peers = any(box.name != self._box for box in self._peering.roster.boxes)
-        if has_peers and not answered:
+        if has_peers and not replies:
             raise self._unknown('no other box answered', RETRY_AFTER_SECONDS, known)
         if sole.unknown is not None:
             several = sole.unknown is UnknownReason.SEVERAL
@@ -90,6 +96,11 @@
         self._log_found(query.key, origin, 'only_version', known)
         return origin
 
+    def _all_known(self, query: StreamQuery, replies: Sequence[StreamReply]) -> list[KnownVersions]:
+        """Return what this box and those that replied know of the service's versions."""
+        known = [KnownVersions(reply.versions, reply.known_seconds) for reply in replies]
+        return [self._known(query.service), *known]
+
     def _known(self, service: str) -> KnownVersions:
         versions = self._versions.known.get(service, frozenset())
         return KnownVersions(versions, self._versions.known_seconds(self._clock()))
@@ -127,33 +138,63 @@
         )
         return StreamOriginUnknown(f'this stream cannot be taken up: {detail}', retry_after)
 
-    def _replies(self, query: StreamQuery, names: list[str]) -> list[StreamReply]:
-        """Return the replies of these boxes, the first one with an origin at once."""
-        if not names:
-            return []
-        asking = self._peering.submit(self._ask(query, names))
+    def _replies(
+        self, query: StreamQuery, groups: Sequence[Sequence[str]], seconds: float
+    ) -> list[StreamReply]:
+        """Return the replies of these boxes within `seconds`, the first one with an origin at once.
+
+        A group is asked only if those before it do not settle the question.
+        """
+        replies: list[StreamReply] = []
+        limit = len(groups) * ASK_NEXT_SECONDS + FIND_STREAM_SECONDS + SLACK_SECONDS
+        asking = self._peering.submit(self._ask(query, groups, replies))
         try:
-            return asking.result(FIND_STREAM_SECONDS + SLACK_SECONDS)
+            asking.result(min(limit, seconds))
         except FutureTimeout:
             asking.cancel()
             self._metrics.count('streams.owner_unreachable')
-            return []
+        return replies.copy()
 
-    async def _ask(self, query: StreamQuery, names: list[str]) -> list[StreamReply]:
-        replies: list[StreamReply] = []
-        tasks = [asyncio.ensure_future(self._ask_one(query, name)) for name in names]
+    async def _ask(
+        self, query: StreamQuery, groups: Sequence[Sequence[str]], replies: list[StreamReply]
+    ) -> None:
+        """Add the replies of these boxes to `replies` as they come."""
+        pending: set[asyncio.Task[StreamReply | None]] = set()
         try:
-            for task in asyncio.as_completed(tasks):
-                reply = await task
-                if reply is None:
-                    continue
-                replies.append(reply)
-                if reply.origin is not None:
+            for group in groups:
+                pending |= {asyncio.ensure_future(self._ask_one(query, name)) for name in group}
+                is_last = group is groups[-1]
+                pending = await self._collect(
+                    pending, replies, None if is_last else ASK_NEXT_SECONDS
+                )
+                if any(reply.origin is not None for reply in replies):
+                    break
+                known = self._all_known(query, replies)
+                if not pending and replies and sole_version(known).unknown is None:
                     break
         finally:
-            for task in tasks:
+            for task in pending:
                 task.cancel()
-        return replies
+
+    @staticmethod
+    async def _collect(
+        pending: set[asyncio.Task[StreamReply | None]],
+        replies: list[StreamReply],
+        seconds: float | None,
+    ) -> set[asyncio.Task[StreamReply | None]]:
+        """Add replies until one has an origin or `seconds` have passed; return what is pending."""
+        loop = asyncio.get_running_loop()
+        deadline = math.inf if seconds is None else loop.time() + seconds
+        while pending and loop.time() < deadline:
+            left = None if seconds is None else deadline - loop.time()
+            done, pending = await asyncio.wait(
+                pending, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            results = (task.result() for task in done)
+            replies += [reply for reply in results if reply is not None]
+            if any(reply.origin is not None for reply in replies):
+                break
+        return pending
 
     async def _ask_one(self, query: StreamQuery, name: str) -> StreamReply | None:
         try:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,6 +1,7 @@
 """What boxes keep of streams that callers may take up, and the placement of these."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 from typing import Any
 
@@ -10,6 +11,7 @@
 from seamhold.decisions import BoxReport, DeciderReport
 from seamhold.forwarding.calls import RoutedRequest, follow_origin
 from seamhold.metrics import Metrics
+from seamhold.stream_origins import StreamOrigins
 from seamhold.stream_records import BATCH_MAX, OUTBOX_MAX, OWNER_COUNT, StreamRecordStore
 from seamhold.stream_records_pull import (
     HOLDER_COUNT,
@@ -21,12 +23,13 @@
 )
 from seamhold_attempts import StreamOrigin, StreamPage, StreamRecord, StreamTable, stream_key
 from seamhold_attempts.retry import Outcome
-from seamhold_attempts.streams import GROUPS, UNCERTAIN
+from seamhold_attempts.streams import GROUPS, UNCERTAIN, stream_group
 from seamhold_membership import ServiceVersions
 from seamhold_membership.versions import REMEMBERED_SECONDS
+from seamhold_messages.errors import StreamOriginUnknown
 from seamhold_messages.fleet import Engine, Phase
 from seamhold_messages.work import Call, Placed, Queued, Refused, Work
-from seamhold_peers import PeerClient
+from seamhold_peers import PeerClient, StreamReply
 from seamhold_peers.codec import MessageCodec
 from seamhold_peers.server import PeerService
 from seamhold_peers.service import Path
@@ -157,6 +160,9 @@
     def start_task(self, work) -> None:
         self.tasks.append(asyncio.ensure_future(work))
 
+    def submit(self, work):
+        return asyncio.run_coroutine_threadsafe(work, self.loop)
+
 
 class StandInPeer:
     """A peer that answers as its table says, after `seconds`."""
@@ -173,6 +179,11 @@
         page = self.table.page({'llm'}, query.groups, BATCH_MAX, 0.0)
         return StreamPage(page.records, page.last, page.more, self.settled)
 
+    async def find_stream(self, query) -> StreamReply:
+        self.asked += 1
+        await asyncio.sleep(self.seconds)
+        return StreamReply(self.table.find(query.key, 0.0), frozenset({'v1', 'v2'}), 9999.0)
+
 
 class StreamRecordsTestCase(testtools.TestCase):
     """A box with stand-ins for its peers, and a clock that the test moves."""
@@ -186,6 +197,7 @@
         parts = (versions, lambda: self.now, metrics)
         self.records = StreamRecordStore('box', self.peering, *parts)
         self.pull = StreamRecordsPull('box', self.peering, self.records, lambda: self.now, metrics)
+        self.origins = StreamOrigins('box', self.peering, self.records, *parts)
 
     async def update_roster(self, seconds: float) -> None:
         """Let time pass, and wait until the pulls that are due have ended."""
@@ -269,6 +281,49 @@
             self.assertEqual(GROUPS * OWNER_COUNT * (HOLDER_COUNT - 1), pairs)
 
 
+class TestAskedPeers(StreamRecordsTestCase):
+    """Eight boxes; the stream's owners do not answer in time, or know nothing."""
+
+    silent = 5.0
+
+    def find(self, holder: int, silent: range, seconds: float = 3.0) -> tuple[Any, float]:
+        """Take up a stream whose record the peer at rank `holder` has; returns the seconds."""
+
+        async def scenario() -> tuple[Any, float]:
+            self.make_box({f'peer-{number}': StandInPeer() for number in range(7)})
+            self.peering.loop = asyncio.get_running_loop()
+            key = stream_key('w', 'h', 'begun')
+            ranked = [n for n in self.records.ranked(stream_group(key)) if n != 'box']
+            for position in silent:
+                self.peering.clients[ranked[position]].seconds = self.silent
+            self.peering.clients[ranked[holder]].table.record(record(key), 0.0)
+            started = time.monotonic()
+            try:
+                found = await asyncio.to_thread(
+                    self.origins.find, 'w', 'h', 'begun', 'llm', seconds
+                )
+            except StreamOriginUnknown as error:
+                found = error
+            return found, time.monotonic() - started
+
+        return asyncio.run(scenario())
+
+    def test_a_silent_owner_does_not_hold_up_a_record_that_further_boxes_have(self):
+        for silent in (range(1), range(2)):
+            found, seconds = self.find(5, silent)
+            self.assertEqual(ORIGIN, found)
+            self.assertLess(seconds, 0.3)
+
+    def test_all_boxes_of_a_small_fleet_are_asked(self):
+        for holder in range(7):
+            self.assertEqual(ORIGIN, self.find(holder, range(0))[0])
+
+    def test_no_caller_waits_longer_than_it_has(self):
+        found, seconds = self.find(0, range(7), seconds=0.05)
+        self.assertIsInstance(found, StreamOriginUnknown)
+        self.assertLess(seconds, 0.2)
+
+
 class TestSplitRoutes(testtools.TestCase):
     def test_a_stream_stays_with_its_service_while_its_route_leads_there(self):
         shares = [ServiceShare('llm', 1), ServiceShare('other', 1), ServiceShare('off', 0)]
