Keep the history of software versions in the store, so that streams go on after a full restart

What callers saw: after all boxes restarted, every stream without a record was refused, even where only one version had ever served: no box had seen the versions for long enough.

Cause: what boxes know of versions was in their memory only.

Change: VersionStore keeps one object (kind versions, name history): since when no version is missing, null for the first start, and for each service's version when its last engine left. A box reads it at its start and merges it. When a version comes, the box that ranks first writes at once; four more look 0.5 s apart and write what is missing. That a version left is written 10 s later: until then it counts as listed, so it only counts for longer, and a box whose list is late cannot write a version as gone that has just come. Writes are conditional; after a conflict or a failed call the box reads and merges before it writes, so null is never lost. Times are taken with 10 s of slack, towards remembering longer and claiming less. What cannot be read claims nothing and is written over. A box that starts waits at most 0.5 s for the first read; after that it serves, and refuses streams of unknown origin with Retry-After.

Not closed: a version that came, began streams and was not yet written when all boxes ended, and that is not listed when they start again.

--- a/packages/platform/seamhold_platform/objects.py
+++ b/packages/platform/seamhold_platform/objects.py
@@ -20,6 +20,7 @@
     CLAIMS = 'claims'
     EVACUATIONS = 'evacuations'
     QUARANTINE = 'quarantine'
+    VERSIONS = 'versions'
 
 
 #: The collections that hold an entry for each member; objects of the others are large.
--- a/packages/router/seamhold/decider.py
+++ b/packages/router/seamhold/decider.py
@@ -90,6 +90,9 @@
         self.evacuations: ListInUse[Evacuation] = ListInUse()
         if not follows_evacuations:
             self.evacuations.loaded.set()
+        #: Set unless this box still has to read the history of versions.
+        self.versions_loaded = threading.Event()
+        self.versions_loaded.set()
         self._events_accepted = 0
         #: Whether this box watches the platform's store.
         self.watches_store = True
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -46,6 +46,7 @@
 from ..status import ExitStatus
 from ..stream_origins import StreamOrigins
 from ..trials import Trials
+from ..version_store import VersionStore
 from .backends import BackendConnections
 from .box_memory import box_memory_bytes
 from .carrier import Carrier
@@ -135,6 +136,14 @@
             environment.unix_time,
             self.metrics,
         )
+        self.version_store = VersionStore(
+            config.box,
+            self.store,
+            self.decider,
+            lambda: self.peering.roster,
+            environment.unix_time,
+            self.metrics,
+        )
         trials = Trials(
             config.box, self.decider, self.peering, self.cases, environment, self.metrics
         )
@@ -325,6 +334,7 @@
         self.access.start()
         self.registration.start()
         self.cases.start()
+        self.version_store.start()
         self.held.start()
         for server in (self.report_server, self.server):
             server.prepare()
@@ -402,10 +412,10 @@
         for server in (self.server, self.report_server):
             server.stop()
         watches = (self.entry.watch, self.entry.read_deadlines)
-        parts = (self.access, self.cases, self.held, self.registration, *watches)
+        parts = (self.access, self.cases, self.version_store, self.held, self.registration)
         if self.buffers is not None:
             parts += (self.buffers,)
-        for part in (*self.followers, *parts):
+        for part in (*self.followers, *parts, *watches):
             part.stop()
         self.peering.stop()
         for task in (self.settings_task, self.decider):
--- a/packages/router/seamhold/peering.py
+++ b/packages/router/seamhold/peering.py
@@ -259,7 +259,7 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this box has settings, the platform's lists and the quarantine cases."""
+        """Whether this box has settings, the platform's lists and what it stored before."""
         decider = self._decider
         return (
             self._settings_task.ready.is_set()
@@ -267,6 +267,7 @@
             and decider.boxes.loaded.is_set()
             and decider.evacuations.loaded.is_set()
             and decider.cases.loaded.is_set()
+            and decider.versions_loaded.is_set()
         )
 
     def wait_ready(self, seconds: float) -> bool:
@@ -279,6 +280,7 @@
             decider.boxes.loaded,
             decider.evacuations.loaded,
             decider.cases.loaded,
+            decider.versions_loaded,
         ):
             if not event.wait(max(0.0, deadline - self._environment.monotonic())):
                 return False
