--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -48,6 +48,7 @@
 from ..stream_records import StreamRecordStore
 from ..stream_records_pull import StreamRecordsPull
 from ..trials import Trials
+from ..version_store import VersionStore
 from .backends import BackendConnections
 from .box_memory import box_memory_bytes
 from .carrier import Carrier
@@ -137,6 +138,14 @@
             environment.unix_time,
             self.metrics,
         )
+        self.version_store = VersionStore(
+            config.box,
+            self.store,
+            self.decider,
+            lambda: self.peering.roster,
+            environment.unix_time,
+            self.metrics,
+        )
         trials = Trials(
             config.box, self.decider, self.peering, self.cases, environment, self.metrics
         )
@@ -335,6 +344,7 @@
         self.access.start()
         self.registration.start()
         self.cases.start()
+        self.version_store.start()
         self.held.start()
         for server in (self.report_server, self.server):
             server.prepare()
@@ -412,10 +422,10 @@
         for server in (self.server, self.report_server):
             server.stop()
         watches = (self.entry.watch, self.entry.read_deadlines)
-        parts = (self.access, self.cases, self.held, self.registration, *watches)
+        parts = (self.access, self.cases, self.version_store, self.held, self.registration)
         if self.buffers is not None:
             parts += (self.buffers,)
-        for part in (*self.followers, *parts):
+        for part in (*self.followers, *parts, *watches):
             part.stop()
         self.peering.stop()
         for task in (self.settings_task, self.decider):
