Refuse a stream whose route no longer leads to the service that began it

What callers saw: a stream that began at one service went on at another one, whose version had the same name, although its origin was known.

Cause: follow_origin kept the drawn service where the route no longer led to the origin's, and bound the call to the origin's version. Versions of two services that are both named v1 are not the same software.

Change: 503 stream_route_moved at once, not run. The unit test of follow_origin asserted that the request stays as drawn, which was the fault; it now asserts the error for the same two cases (weight 0, not in the route).

Ruled out: to let the stream go on at its own service although no route leads there. Operators who move a route away may be about to end that service, and its policy no longer applies to the route.

--- a/packages/messages/seamhold_messages/errors.py
+++ b/packages/messages/seamhold_messages/errors.py
@@ -221,6 +221,13 @@
     status = 503
 
 
+class StreamRouteMoved(SeamholdError):
+    """The stream's route no longer leads to the service that began it."""
+
+    code = 'stream_route_moved'
+    status = 503
+
+
 class TicketsFull(SeamholdError):
     """The box holds as many open tickets as it may."""
 
--- a/packages/router/seamhold/forwarding/calls.py
+++ b/packages/router/seamhold/forwarding/calls.py
@@ -7,7 +7,7 @@
 
 from seamhold_attempts.retry import RetryRule
 from seamhold_attempts.streams import StreamOrigin, stream_key
-from seamhold_messages.errors import Unauthorized, UnknownRoute, UnknownService
+from seamhold_messages.errors import StreamRouteMoved, Unauthorized, UnknownRoute, UnknownService
 from seamhold_messages.work import Call, Priority, Work
 from seamhold_settings.forwarding import RouteTable, choose_service
 from seamhold_settings.schema import ForwardedRoute, Policy
@@ -73,10 +73,14 @@
 
 
 def follow_origin(table: RouteTable, found: RoutedRequest, origin: StreamOrigin) -> RoutedRequest:
-    """Return the request for the service that began its stream, if its route still leads there."""
+    """Return the request for the service that began its stream.
+
+    Raises StreamRouteMoved if its route no longer leads there: another service may have a version
+    of the same name.
+    """
     shares = found.route.shares
     if not any(share.service == origin.service and share.weight > 0 for share in shares):
-        return found
+        raise StreamRouteMoved(f'this stream began at service {origin.service!r}')
     policy = table.policy(found.route, origin.service, found.workspace)
     return replace(found, service=origin.service, policy=policy)
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -11,6 +11,7 @@
 from seamhold_attempts.streams import UNCERTAIN
 from seamhold_membership import ServiceVersions
 from seamhold_membership.versions import REMEMBERED_SECONDS
+from seamhold_messages.errors import StreamRouteMoved
 from seamhold_messages.fleet import Engine
 from seamhold_messages.work import Call, Placed, Queued, Refused, Work
 from seamhold_routing import Router
@@ -93,7 +94,8 @@
         followed = follow_origin(table, found, ORIGIN)
         self.assertEqual(('llm', 'llm'), (followed.service, followed.policy))
         for service in ('off', 'moved'):
-            self.assertIs(found, follow_origin(table, found, StreamOrigin(service, 'v1')))
+            origin = StreamOrigin(service, 'v1')
+            self.assertRaises(StreamRouteMoved, follow_origin, table, found, origin)
 
 
 class TestPlacementByVersion(testtools.TestCase):
