Let a stream whose route is split or was moved go on at the service that began it only

What callers saw: a stream went on with events of another service, where its route leads to several services by weight, or was moved, and nobody asked had a record of it.

Cause: a box asked which versions the service has that the route leads to now, and found one. That another service may have begun the stream was not asked, and no records were sent to other boxes while each service had one version.

Change: services are linked while a resumable route leads to both, and for REMEMBERED_SECONDS after a streamed route was moved from one to the other. Boxes send the records of linked services to the owners before the first event, and those from before once the link begins. Without a record, a stream taken up at a linked service is refused: stream_origin_unknown. Replies between boxes name the other services; older boxes name none.

Why it holds: the links are in force before the routes are, on the thread that applies both, and a record is kept before the link is looked up, so it is sent by either the one or the other. A pair is linked both ways, as other boxes use the routes before for some seconds more.

Ruled out: links for each path (exact, but a history of each route, and paths in the questions between boxes); the product of all services of a split (a ring has as many pairs as services).

What remains: service by service, a link also makes streams of other routes of these services need a record. A box that starts knows no earlier links until the history is read from the store or a peer, and then refuses what has no record.

--- a/packages/membership/seamhold_membership/__init__.py
+++ b/packages/membership/seamhold_membership/__init__.py
@@ -9,6 +9,7 @@
 from .reach import EngineReach
 from .relay import GossipBuffer
 from .self_reports import BRITTLE_SECONDS, REST_MAX_SECONDS, SelfReports
+from .service_links import LinkHistory, ServiceLink, ServiceLinks
 from .sole_version import KnownVersions, SoleVersion, UnknownReason, sole_version
 from .unused import ServiceUse, UnusedReason
 from .update_lag import UpdateLag
@@ -30,8 +31,11 @@
     'FailureCounts',
     'GossipBuffer',
     'KnownVersions',
+    'LinkHistory',
     'ListedVersion',
     'SelfReports',
+    'ServiceLink',
+    'ServiceLinks',
     'ServiceUse',
     'ServiceVersions',
     'Serving',
--- a/packages/membership/seamhold_membership/sole_version.py
+++ b/packages/membership/seamhold_membership/sole_version.py
@@ -9,16 +9,22 @@
 
 
 class KnownVersions(Struct, frozen=True):
-    """A service's versions as one box knows them; none of the last `known_seconds` is missing."""
+    """A service's versions as one box knows them; none of the last `known_seconds` is missing.
+
+    `other_services` may have begun a stream that is taken up at the service; of them, too, none
+    is missing.
+    """
 
     versions: frozenset[str] = frozenset()
     known_seconds: float = 0.0
+    other_services: frozenset[str] = frozenset()
 
 
 class UnknownReason(StrEnum):
     """Why the version that began a stream cannot be told."""
 
     SEVERAL = 'no box that answered knows its version'
+    SERVICES = 'no box that answered knows its service'
     NONE = 'its service has no version'
     TOO_RECENT = 'no box that answered has seen the versions of its service for long enough'
 
@@ -40,6 +46,8 @@
     """
     known = tuple(known)
     versions: frozenset[str] = frozenset().union(*(one.versions for one in known))
+    if any(one.other_services for one in known):
+        return SoleVersion(unknown=UnknownReason.SERVICES)
     if len(versions) > 1:
         return SoleVersion(unknown=UnknownReason.SEVERAL)
     if not versions:
--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -99,9 +99,11 @@
 class StreamReply(Struct, frozen=True):
     """A box's reply: the origin, None if unknown, and the service's versions as known there.
 
-    No version of the last `known_seconds` is missing.
+    `other_services` may have begun a stream that is taken up at the service.  No version and no
+    service of the last `known_seconds` is missing.
     """
 
     origin: StreamOrigin | None = None
     versions: frozenset[str] = frozenset()
     known_seconds: float = 0.0
+    other_services: frozenset[str] = frozenset()
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -11,7 +11,7 @@
 
 from msgspec import to_builtins
 
-from seamhold_membership import VersionHistory
+from seamhold_membership import LinkHistory, VersionHistory
 from seamhold_messages.fleet import Box, Engine, is_update_for_engine
 from seamhold_platform import ObjectKind
 from seamhold_routing import Router
@@ -36,6 +36,7 @@
 from ..dialects import find_dialect
 from ..engine_uses import EngineUses
 from ..gate import Gate
+from ..linked_services import LinkedServices
 from ..logs import BoundedStream, logger, setup_logs
 from ..metrics import Metrics
 from ..peering import Peering
@@ -138,9 +139,13 @@
         trials = Trials(
             config.box, self.decider, self.peering, self.cases, environment, self.metrics
         )
+        self.links = LinkedServices(clock)
+        if config.first_start:
+            self.links.merge(LinkHistory(known_seconds=math.inf))
         self.origins = StreamOrigins(
-            config.box, self.peering, self.decider.versions, clock, self.metrics
+            config.box, self.peering, self.decider.versions, self.links, clock, self.metrics
         )
+        self.links.on_linked = self.origins.services_mixed
         self.decider.on_mixed_versions = self.origins.services_mixed
         self.decider.on_changed_versions = self.origins.engines_changed
         self.runner = Runner(
@@ -261,7 +266,10 @@
         self.server.head_seconds = bounds.head_seconds
         self.server.max_request_header_size = bounds.head_bytes
         self.entry.body_bytes = bounds.body_bytes
-        self.entry.table = RouteTable(tree)
+        table = RouteTable(tree)
+        # What begins or is taken up by the new routes must find the services linked.
+        self.links.set_table(table)
+        self.entry.table = table
         self.entry.settings_version = self.settings_task.snapshot.total
         self.budgets.use(tree.fleet.control)
         self.decider.send(UseSettings(tree))
--- a/packages/router/seamhold/stream_origins.py
+++ b/packages/router/seamhold/stream_origins.py
@@ -2,7 +2,8 @@
 
 The box that began a stream may be gone by then, so other boxes keep records as well: while a
 service has engines of several software versions, its owners learn of each stream before the
-caller gets the first event.  With one version there is nothing to choose, and nothing is sent.
+caller gets the first event.  With one version there is nothing to choose, and nothing is sent,
+unless a route leads, or was moved, from one service to another.
 """
 
 import asyncio
@@ -30,6 +31,7 @@
 from seamhold_placement.rank import owners
 
 from .job import Job
+from .linked_services import LinkedServices
 from .logs import logger
 from .metrics import Metrics
 from .peering import Peering
@@ -62,12 +64,14 @@
         box: str,
         peering: Peering,
         versions: ServiceVersions,
+        links: LinkedServices,
         clock: Callable[[], float],
         metrics: Metrics,
     ):
         self._box = box
         self._peering = peering
         self._versions = versions
+        self._links = links
         self._clock = clock
         self._started_at = clock()
         self._metrics = metrics
@@ -95,7 +99,7 @@
             while self._begun[0][0] < now - LIST_LAG_SECONDS:
                 self._begun.popleft()
         self.keep((record,))
-        if call.service in self._versions.mixed:
+        if call.service in self._versions.mixed or self._links.is_linked(call.service):
             self._send((record,))
 
     def is_certain(self, job: Job) -> bool:
@@ -122,7 +126,10 @@
         self._send(records)
 
     def services_mixed(self, services: frozenset[str]) -> None:
-        """Send the records of streams that began while these services had one version."""
+        """Send the records of streams that began while these services had one version.
+
+        Services that share a route, or were moved between, count as one with several versions.
+        """
         with self._lock:
             records = self._table.of_services(services, self._clock())
         self._log.info('versions.mixed', services=sorted(services), records=len(records))
@@ -192,7 +199,10 @@
                 self._log_found(query.key, found, 'peer_record')
                 return found
             answered += len(replies)
-            known += [KnownVersions(reply.versions, reply.known_seconds) for reply in replies]
+            known += [
+                KnownVersions(reply.versions, reply.known_seconds, reply.other_services)
+                for reply in replies
+            ]
             sole = sole_version(known)
             if answered and sole.unknown is None:
                 break
@@ -200,7 +210,7 @@
         if has_peers and not answered:
             raise self._unknown('no other box answered', RETRY_AFTER_SECONDS, known)
         if sole.unknown is not None:
-            several = sole.unknown is UnknownReason.SEVERAL
+            several = sole.unknown in (UnknownReason.SEVERAL, UnknownReason.SERVICES)
             raise self._unknown(sole.unknown, None if several else RETRY_AFTER_SECONDS, known)
         origin = StreamOrigin(query.service, sole.version)
         self._log_found(query.key, origin, 'only_version', known)
@@ -208,7 +218,9 @@
 
     def _known(self, service: str) -> KnownVersions:
         versions = self._versions.known.get(service, frozenset())
-        return KnownVersions(versions, self._versions.known_seconds(self._clock()))
+        now = self._clock()
+        known_seconds = min(self._versions.known_seconds(now), self._links.known_seconds(now))
+        return KnownVersions(versions, known_seconds, self._links.others(service))
 
     def _log_found(
         self,
@@ -293,7 +305,7 @@
         with self._lock:
             origin = self._table.find(query.key, self._clock())
         known = self._known(query.service)
-        return StreamReply(origin, known.versions, known.known_seconds)
+        return StreamReply(origin, known.versions, known.known_seconds, known.other_services)
 
     def _owners(self, key: str) -> list[str]:
         """Return the boxes that are asked about a stream, its owners first."""
--- a/packages/settings/seamhold_settings/forwarding.py
+++ b/packages/settings/seamhold_settings/forwarding.py
@@ -4,6 +4,8 @@
 its service, who may send it and its policy.
 """
 
+from collections.abc import Mapping
+
 from seamhold_messages.hashing import HASH32_SPAN, hash32
 
 from .resolve import DEFAULTS, Tree, merge
@@ -49,6 +51,11 @@
             end -= 1
         return None
 
+    @property
+    def routes(self) -> Mapping[str, Mapping[str, ForwardedRoute]]:
+        """The routes by host, in lower case, and path prefix."""
+        return self._by_host
+
     @property
     def requires_key(self) -> bool:
         """Whether callers need a key, which is so if the tree has workspaces."""
