Tell when the history of linked services changed, for the task that writes it to the store

What must last beyond a restart of all boxes lies in the platform's store.

Change: LinkedServices.on_changed. REMEMBERED_SECONDS has a module of its own, so that the histories of versions and of links may hold one another; it can still be imported from versions.

Measured: 2 calls for three tables of which one leads nowhere else (test).

--- a/packages/membership/seamhold_membership/service_links.py
+++ b/packages/membership/seamhold_membership/service_links.py
@@ -11,7 +11,7 @@
 
 from msgspec import Struct
 
-from .versions import REMEMBERED_SECONDS
+from .remembered import REMEMBERED_SECONDS
 
 #: The service at which streams began, and the one at which they may be taken up.
 ServicePair = tuple[str, str]
--- a/packages/membership/seamhold_membership/versions.py
+++ b/packages/membership/seamhold_membership/versions.py
@@ -11,9 +11,7 @@
 
 from seamhold_messages.fleet import Engine
 
-#: How long a version counts after its last engine left the list, in seconds: longer than the
-#: records of streams are kept.
-REMEMBERED_SECONDS = 3660.0
+from .remembered import REMEMBERED_SECONDS
 
 
 class ListedVersion(Struct, frozen=True):
--- a/packages/router/seamhold/linked_services.py
+++ b/packages/router/seamhold/linked_services.py
@@ -20,21 +20,27 @@
         self._clock = clock
         self._links = ServiceLinks()
         self._table: RouteTable | None = None
+        self._routes = ''
         self._lock = threading.Lock()
         self._forget_at = clock() + FORGET_SECONDS
         self._log = logger('linked-services')
         #: Called with the services that became linked.
         self.on_linked: Callable[[frozenset[str]], None] | None = None
+        #: Called after the history of this box changed by its own routes.
+        self.on_changed: Callable[[], None] | None = None
 
     def set_table(self, table: RouteTable) -> None:
         """Link the services that the routes lead to together, or were moved between."""
         routes, shared = routes_fingerprint(table), split_pairs(table)
         moved = moved_pairs(self._table, table) if self._table is not None else frozenset()
-        self._table = table
+        is_changed = routes != self._routes
+        self._table, self._routes = table, routes
         with self._lock:
             linked_before = self._links.linked
             self._links.set_routes(routes, shared, moved, self._clock())
         self._report(linked_before)
+        if self.on_changed is not None and (is_changed or self._links.linked != linked_before):
+            self.on_changed()
 
     def merge(self, history: LinkHistory) -> None:
         """Add what the store or another box knows of the time before this box started."""
--- a/tests/test_service_links.py
+++ b/tests/test_service_links.py
@@ -250,7 +250,23 @@
         links.set_table(table(route('/', 'x', 'z'), route('/a/', 'y')))
         links.set_table(table(route('/', 'z'), route('/a/', 'y')))
         self.assertEqual([{'x', 'z'}], told)
+
+    def test_links_that_are_dropped_after_some_time_link_nothing(self):
+        now = [0.0]
+        links = LinkedServices(lambda: now[0])
+        links.set_table(table(route('/', 'x', 'z'), route('/a/', 'y')))
+        links.set_table(table(route('/', 'z'), route('/a/', 'y')))
         self.assertFalse(links.is_linked('y'))
         self.assertTrue(links.is_linked('x'))
         now[0] = REMEMBERED_SECONDS
         self.assertFalse(links.is_linked('x'))
+
+    def test_a_new_history_is_told_where_routes_lead_elsewhere_and_not_at_other_changes(self):
+        links = LinkedServices(lambda: 0.0)
+        told: list[LinkHistory] = []
+        links.on_changed = lambda: told.append(links.history())
+        links.set_table(table(route('/', 'x')))
+        links.set_table(table(route('/', 'x', public=True)))
+        links.set_table(table(route('/', 'y')))
+        self.assertEqual([0, 2], [len(history.links) for history in told])
+        self.assertEqual(2, len({history.routes for history in told}))
