--- a/packages/peers/seamhold_peers/calls.py
+++ b/packages/peers/seamhold_peers/calls.py
@@ -99,12 +99,14 @@
 class StreamReply(Struct, frozen=True):
     """A box's reply: the origin, None if unknown, and the service's versions as known there.
 
-    No version of the last `known_seconds` is missing.
+    No version of the last `known_seconds` is missing.  `other_services` may have begun a stream
+    that is taken up at the service, as far as the box has seen routes change.
     """
 
     origin: StreamOrigin | None = None
     versions: frozenset[str] = frozenset()
     known_seconds: float = 0.0
+    other_services: frozenset[str] = frozenset()
 
 
 class StreamRecordsQuery(Struct, frozen=True):
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -36,6 +36,7 @@
 from ..dialects import find_dialect
 from ..engine_uses import EngineUses
 from ..gate import Gate
+from ..linked_services import LinkedServices
 from ..logs import BoundedStream, logger, setup_logs
 from ..metrics import Metrics
 from ..peering import Peering
@@ -150,14 +151,18 @@
             config.box, self.decider, self.peering, self.cases, environment, self.metrics
         )
         versions = self.decider.versions
-        self.records = StreamRecordStore(config.box, self.peering, versions, clock, self.metrics)
+        self.links = LinkedServices(clock)
+        self.records = StreamRecordStore(
+            config.box, self.peering, versions, self.links, clock, self.metrics
+        )
         self.records_pull = StreamRecordsPull(
             config.box, self.peering, self.records, clock, self.metrics
         )
         self.peering.on_roster = self.records_pull.roster_updated
         self.origins = StreamOrigins(
-            config.box, self.peering, self.records, versions, clock, self.metrics
+            config.box, self.peering, self.records, versions, self.links, clock, self.metrics
         )
+        self.links.on_linked = self.records.services_mixed
         self.decider.on_mixed_versions = self.records.services_mixed
         self.decider.on_changed_versions = self.records.engines_changed
         self.runner = Runner(
@@ -278,7 +283,10 @@
         self.server.head_seconds = bounds.head_seconds
         self.server.max_request_header_size = bounds.head_bytes
         self.entry.body_bytes = bounds.body_bytes
-        self.entry.table = RouteTable(tree)
+        table = RouteTable(tree)
+        # What begins or is taken up by the new routes must find the services linked.
+        self.links.set_table(table)
+        self.entry.table = table
         self.entry.settings_version = self.settings_task.snapshot.total
         self.budgets.use(tree.fleet.control)
         self.decider.send(UseSettings(tree))
--- a/packages/router/seamhold/stream_origins.py
+++ b/packages/router/seamhold/stream_origins.py
@@ -16,6 +16,7 @@
 from seamhold_peers import PeerClient, StreamQuery, StreamReply
 from seamhold_peers.client import FIND_STREAM_SECONDS, PEER_ERRORS
 
+from .linked_services import LinkedServices
 from .logs import logger
 from .metrics import Metrics
 from .peering import Peering
@@ -38,6 +39,7 @@
         peering: Peering,
         records: StreamRecordStore,
         versions: ServiceVersions,
+        links: LinkedServices,
         clock: Callable[[], float],
         metrics: Metrics,
     ):
@@ -45,6 +47,7 @@
         self._peering = peering
         self._records = records
         self._versions = versions
+        self._links = links
         self._clock = clock
         self._started_at = clock()
         self._metrics = metrics
@@ -90,7 +93,7 @@
         if has_peers and not replies:
             raise self._unknown('no other box answered', RETRY_AFTER_SECONDS, known)
         if sole.unknown is not None:
-            several = sole.unknown is UnknownReason.SEVERAL
+            several = sole.unknown in (UnknownReason.SEVERAL, UnknownReason.SERVICES)
             raise self._unknown(sole.unknown, None if several else RETRY_AFTER_SECONDS, known)
         origin = StreamOrigin(query.service, sole.version)
         self._log_found(query.key, origin, 'only_version', known)
@@ -98,12 +101,16 @@
 
     def _all_known(self, query: StreamQuery, replies: Sequence[StreamReply]) -> list[KnownVersions]:
         """Return what this box and those that replied know of the service's versions."""
-        known = [KnownVersions(reply.versions, reply.known_seconds) for reply in replies]
+        known = [
+            KnownVersions(reply.versions, reply.known_seconds, reply.other_services)
+            for reply in replies
+        ]
         return [self._known(query.service), *known]
 
     def _known(self, service: str) -> KnownVersions:
         versions = self._versions.known.get(service, frozenset())
-        return KnownVersions(versions, self._versions.known_seconds(self._clock()))
+        known_seconds = self._versions.known_seconds(self._clock())
+        return KnownVersions(versions, known_seconds, self._links.others(service))
 
     def _log_found(
         self,
@@ -208,7 +215,7 @@
         """Return what this box knows of a stream's origin."""
         origin = self._records.find(query.key)
         known = self._known(query.service)
-        return StreamReply(origin, known.versions, known.known_seconds)
+        return StreamReply(origin, known.versions, known.known_seconds, known.other_services)
 
 
 def _rounded_seconds(known: Sequence[KnownVersions]) -> list[float]:
--- a/packages/router/seamhold/stream_records.py
+++ b/packages/router/seamhold/stream_records.py
@@ -2,7 +2,8 @@
 
 The box that began a stream may be gone when a caller takes it up, so other boxes keep a record as
 well: while a service has engines of several software versions, a stream's owners get it before the
-caller gets the first event.  With one version there is nothing to choose, and nothing is sent.
+caller gets the first event.  With one version there is nothing to choose, and nothing is sent,
+unless a route leads, or was moved, from one service to another.
 """
 
 import threading
@@ -26,6 +27,7 @@
 from seamhold_placement.rank import Ranking
 
 from .job import Job
+from .linked_services import LinkedServices
 from .logs import logger
 from .metrics import Metrics
 from .peering import Peering
@@ -51,12 +53,14 @@
         box: str,
         peering: Peering,
         versions: ServiceVersions,
+        links: LinkedServices,
         clock: Callable[[], float],
         metrics: Metrics,
     ):
         self._box = box
         self._peering = peering
         self._versions = versions
+        self._links = links
         self._clock = clock
         self._metrics = metrics
         self._log = logger('stream-records')
@@ -86,7 +90,7 @@
 
         `groups` has, by group, the number after which its records are wanted.
         """
-        mixed = self._versions.mixed
+        mixed = self._versions.mixed | self._links.linked
         if not mixed:
             return StreamPage()
         with self._lock:
@@ -116,7 +120,7 @@
             while self._begun[0][0] < now - LIST_LAG_SECONDS:
                 self._begun.popleft()
         self.keep((record,))
-        if call.service in self._versions.mixed:
+        if call.service in self._versions.mixed or self._links.is_linked(call.service):
             self._send((record,))
 
     def is_certain(self, job: Job) -> bool:
@@ -142,7 +146,10 @@
         self._send(records)
 
     def services_mixed(self, services: frozenset[str]) -> None:
-        """Send the records of streams that began while these services had one version."""
+        """Send the records of streams that began while these services had one version.
+
+        Services that share a route, or were moved between, count as one with several versions.
+        """
         with self._lock:
             records = self.table.of_services(services, self._clock())
         self._log.info('versions.mixed', services=sorted(services), records=len(records))
