--- a/packages/router/seamhold/version_store.py
+++ b/packages/router/seamhold/version_store.py
@@ -173,7 +173,7 @@
             return
         if not self._try(self._write_missing):
             self._check_at = boot_seconds() + RETRY_SECONDS
-        elif is_unsettled(self._stored.versions, self._own()):
+        elif self._stored is not None and is_unsettled(self._stored.versions, self._own()):
             # This check was delayed by the box's rank, so the next one is, too.
             self._check_at = boot_seconds() + SETTLED_SECONDS
 
