--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 7 --seconds 12 --quirks none --rate 40 --busy 0 --series two_versions,kill+term
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 8 --seconds 12 --quirks none --rate 40 --busy 0 --engines 14 --series ending_part,reload
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 37 --seconds 12 --quirks none --rate 20 --busy 0 --series carried_server_kill,kill+term
+	cd platform && ../$(BIN)/python -m dialect_soak --seed 4 --seconds 12 --quirks none --rate 40 --busy 0 --series rollout,kill_all+kill
 
 soak-dialect: install
 	cd platform && ../$(BIN)/python -m dialect_soak --seed $(SEED) --runs $(RUNS)
