Publish merged versions before they count as complete

A caller's thread could pair the versions from before a merge with the infinite time of the history that was merged, and take up a stream at the only version (found in review: inside merge the pair ({v1.1}, inf) is visible; no hit by two threads was played). merge publishes the versions first, and readers read the time first.

--- a/packages/membership/seamhold_membership/versions.py
+++ b/packages/membership/seamhold_membership/versions.py
@@ -73,8 +73,9 @@
             version = (one.service, one.version)
             left_at = now - max(0.0, one.gone_seconds)
             self._left_at[version] = max(left_at, self._left_at.get(version, left_at))
-        self.known_since = min(self.known_since, now - history.known_seconds)
         self.forget(now)
+        # Other threads read these: the versions must be there before they count as complete.
+        self.known_since = min(self.known_since, now - history.known_seconds)
 
     def history(self, now: float) -> VersionHistory:
         """Return what this box knows, for the store or another box."""
--- a/packages/router/seamhold/stream_origins.py
+++ b/packages/router/seamhold/stream_origins.py
@@ -108,8 +108,8 @@
         return [self._known(query.service), *known]
 
     def _known(self, service: str) -> KnownVersions:
-        versions = self._versions.known.get(service, frozenset())
         known_seconds = self._versions.known_seconds(self._clock())
+        versions = self._versions.known.get(service, frozenset())
         return KnownVersions(versions, known_seconds, self._links.others(service))
 
     def _log_found(
