Stored versions: limit times in the future, and merge entries of one version

A version that "left" 30 years ahead, by a wrong clock or another writer, was kept for good and made its service mixed after each restart; of two entries of a version the last one counted, so a listed version could look gone. Found in review.

--- a/packages/router/seamhold/stored_versions.py
+++ b/packages/router/seamhold/stored_versions.py
@@ -103,7 +103,11 @@
     for name in (service, *(one.version for one in versions if one.version)):
         if not is_label(name):
             raise ValueError(f'{name[:NAME_MAX_CHARS]!a} is not a name')
-    return {(service, one.version): _time(one.left_unix_time, math.inf) for one in versions}
+    left_at: dict[tuple[str, str], float] = {}
+    for one in versions:
+        left = _time(one.left_unix_time, math.inf)
+        left_at[service, one.version] = max(left, left_at.get((service, one.version), left))
+    return left_at
 
 
 def _time(at: float | None, absent: float) -> float:
@@ -135,6 +139,11 @@
     for one in own.versions:
         key = (one.service, one.version)
         left_at[key] = _left_at(left_at.get(key, -math.inf), one.gone_seconds, unix_time)
+    # A time in the future is of a wrong clock, and would keep its version for good.
+    left_at = {
+        version: left if left == math.inf else min(left, unix_time + SLACK_SECONDS)
+        for version, left in left_at.items()
+    }
     oldest = unix_time - REMEMBERED_SECONDS - SLACK_SECONDS
     kept = {version: left for version, left in left_at.items() if left > oldest}
     # What could not be read is overwritten, and only this box's own knowledge is left of it.
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -55,6 +55,11 @@
         self.assertEqual(100.0 - SLACK_SECONDS, read.known_seconds)
         self.assertEqual([60.0 - SLACK_SECONDS, 0.0], [one.gone_seconds for one in read.versions])
 
+    def test_of_two_entries_of_a_version_the_later_one_counts(self):
+        item = to_object(FROM_THE_START)
+        item.spec['services']['app']['versions'].append({'version': 'v1', 'left_unix_time': 1.0})
+        self.assertEqual(FROM_THE_START, from_object(item))
+
     def test_an_invalid_history_claims_nothing(self):
         valid = to_object(FROM_THE_START).spec
         for spec in (
@@ -129,6 +134,13 @@
         stored = StoredVersions(-math.inf, {V1: oldest, V2: oldest + 1.0})
         self.assertEqual({V2: oldest + 1.0}, merge_into(stored, known(), NOW).left_at)
 
+    def test_a_version_that_left_in_the_future_is_not_kept_for_good(self):
+        stored = StoredVersions(-math.inf, {V1: math.inf, V2: NOW + 1e9})
+        merged = merge_into(stored, known(('v1', 0.0)), NOW)
+        self.assertEqual({V1: math.inf, V2: NOW + SLACK_SECONDS}, merged.left_at)
+        later = NOW + REMEMBERED_SECONDS + 3 * SLACK_SECONDS
+        self.assertEqual({V1}, set(merge_into(merged, known(('v1', 0.0)), later).left_at))
+
     def test_an_unreadable_entry_is_overwritten_and_claimed_by_nobody_who_missed_it(self):
         stored = StoredVersions(-math.inf, {V1: math.inf}, {'odd': 'invalid'})
         merged = merge_into(stored, known(('v1', 0.0), seconds=50.0), NOW)
