Believe first_start only if the store has no history

The claim is made by the first read, and only if that finds no object. versions_loaded is set even if the read fails in an unexpected way, so that the box gets ready.

--- a/packages/router/seamhold/config.py
+++ b/packages/router/seamhold/config.py
@@ -31,7 +31,8 @@
     Addresses are `ip:port`.  `threads` is the number of calls served concurrently.
     `drain_grace` and `drain_limit` are in seconds.  `evacuations` states whether the
     platform's operators may evacuate failure domains: the box then follows that list too.
-    `first_start` states that no box of this fleet has run before, so nothing can have been missed.
+    `first_start` states that no box of this fleet has run before, so nothing can have been missed;
+    it must be false at each later start.
     `response_buffer_share` is the part of the box's memory that may hold what slow callers have
     not read of their responses; 0 buffers nothing, and a slow caller holds its thread.
     `memory_bytes` is the box's memory, by default what the machine, the control group and the
--- a/packages/router/seamhold/forwarding/box.py
+++ b/packages/router/seamhold/forwarding/box.py
@@ -1,7 +1,6 @@
 """Assembles and runs a box that forwards requests in a platform's dialect."""
 
 import gc
-import math
 import os
 import queue
 import random
@@ -11,7 +10,6 @@
 
 from msgspec import to_builtins
 
-from seamhold_membership import VersionHistory
 from seamhold_messages.fleet import Box, Engine, is_update_for_engine
 from seamhold_platform import ObjectKind
 from seamhold_routing import Router
@@ -111,8 +109,6 @@
         self.store = dialect.store(config.platform_url)
         router = Router(config.box, self.incarnation, failure_domain=config.failure_domain)
         router.slots.wait_for_peers()
-        if config.first_start:
-            router.versions.merge(VersionHistory(known_seconds=math.inf), clock())
         self.decider = Decider(router, clock, config.evacuations)
         self.settings_task = SettingsTask(self.metrics, self._settings_changed)
         self.budgets = RetryBudgets(clock)
@@ -146,6 +142,7 @@
             lambda: self.peering.roster,
             environment.unix_time,
             self.metrics,
+            config.first_start,
         )
         trials = Trials(
             config.box, self.decider, self.peering, self.cases, environment, self.metrics
--- a/packages/router/seamhold/version_store.py
+++ b/packages/router/seamhold/version_store.py
@@ -7,6 +7,7 @@
 `SETTLED_SECONDS` later: until then it counts as listed, which only makes it count for longer.
 """
 
+import math
 import queue
 import threading
 from collections.abc import Callable
@@ -49,8 +50,8 @@
 RETRY_SECONDS = 2.0
 #: The same for the first read, in seconds.
 FIRST_RETRY_SECONDS = 0.2
-#: Maximum wait of a starting box for the first read, in seconds.  Without it, the box serves all
-#: but streams of unknown origin.
+#: A starting box makes no further attempt at the first read after this time, in seconds, before
+#: it serves.  Without the read it serves all but streams of unknown origin.
 FIRST_READ_SECONDS = 0.5
 
 
@@ -68,7 +69,8 @@
 class VersionStore:
     """The task that reads the history of versions from the store and writes it there.
 
-    `roster` returns the decider's report, with the boxes that are responsive.
+    `roster` returns the decider's report, with the boxes that are responsive.  `first_start`
+    states that no box of this fleet has run before; it counts only if the store has no history.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         roster: Callable[[], DeciderReport],
         unix_time: Callable[[], float],
         metrics: Metrics,
+        first_start: bool = False,
     ):
         self._box = box
         self._store = store
@@ -87,6 +90,8 @@
         self._unix_time = unix_time
         self._metrics = metrics
         self._log = logger('version-store')
+        #: Whether no version can have been missed if the first read finds no history.
+        self._is_first_start = first_start
         self._messages: queue.SimpleQueue[_Changed | Stop] = queue.SimpleQueue()
         self._stopped = threading.Event()
         #: None after a failed call, which may have been applied.
@@ -136,11 +141,13 @@
         """
         loaded = self._decider.versions_loaded
         serves_at = boot_seconds() + FIRST_READ_SECONDS
-        while not self._stopped.is_set() and not self._try(self._read):
-            if boot_seconds() >= serves_at:
-                loaded.set()
-            self._stopped.wait(RETRY_SECONDS if loaded.is_set() else FIRST_RETRY_SECONDS)
-        loaded.set()
+        try:
+            while not self._stopped.is_set() and not self._try(self._read):
+                if boot_seconds() >= serves_at:
+                    loaded.set()
+                self._stopped.wait(RETRY_SECONDS if loaded.is_set() else FIRST_RETRY_SECONDS)
+        finally:
+            loaded.set()
 
     def _try(self, step: Callable[[], object]) -> bool:
         try:
@@ -211,9 +218,13 @@
         try:
             item = self._store.get(ObjectKind.VERSIONS, HISTORY_NAME)
         except PlatformNotFound:
-            self._log.info('versions.absent')
+            self._log.info('versions.absent', first_start=self._is_first_start)
+            if self._is_first_start:
+                self._is_first_start = False
+                self._decider.send(MergeVersions(VersionHistory(known_seconds=math.inf)))
             self._stored = _Stored()
             return self._stored
+        self._is_first_start = False
         versions = self._decoded(item)
         news = news_of(versions.history(self._unix_time()), self._own())
         if news.versions or news.known_seconds:
