--- a/Makefile
+++ b/Makefile
@@ -56,8 +56,9 @@
 # are cut from all engines and connections between boxes go silent, and one of brittle servers
 # beside engines that fall silent for a second, and one in which all boxes start anew and their connections
 # to each other go silent; one with engines of two software versions and streams that break off,
-# one with a prompt part that crashes servers, and one in which servers that are processes are
-# killed, some of them behind carriers that are killed and stopped.
+# one with a prompt part that crashes servers, one in which servers that are processes are
+# killed, some of them behind carriers that are killed and stopped, and one in which all servers are
+# replaced by another version while boxes are killed.
 soak-dialect-short: install
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --runs 2 --seconds 12
 	cd platform && ../$(BIN)/python -m dialect_soak --seed 2 --seconds 12 --scale 0.5 --series hot,release+engines_come
