--- a/packages/membership/seamhold_membership/sole_version.py
+++ b/packages/membership/seamhold_membership/sole_version.py
@@ -54,4 +54,4 @@
         return SoleVersion(unknown=UnknownReason.NONE)
     if max(one.known_seconds for one in known) < needed_seconds:
         return SoleVersion(unknown=UnknownReason.TOO_RECENT)
-    return SoleVersion(*versions)
+    return SoleVersion(next(iter(versions)))
