--- a/packages/router/seamhold/stream_records.py
+++ b/packages/router/seamhold/stream_records.py
@@ -1,9 +1,9 @@
 """Keeps records of which service and software version began each stream, here and at peers.
 
 The box that began a stream may be gone when a caller takes it up, so other boxes keep a record as
-well: while a service has engines of several software versions, it is sent to a stream's owners before
-the caller gets the first event.  With one version there is nothing to choose, and nothing is sent,
-unless a route leads, or was moved, from one service to another.
+well: while a service has engines of several software versions, it is sent to a stream's owners
+before the caller gets the first event.  With one version there is nothing to choose, and nothing
+is sent, unless a route leads, or was moved, from one service to another.
 """
 
 import threading
