--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -67,6 +67,19 @@
             (ListedVersion('llm', 'v1', 21.0), listed), self.versions.history(102.0).versions
         )
 
+    def test_a_history_counts_as_complete_only_once_its_versions_can_be_read(self):
+        known_seconds: list[float] = []
+        publish = self.versions.forget
+
+        def forget(now: float) -> None:
+            known_seconds.append(self.versions.known_seconds(now))
+            publish(now)
+
+        self.patch(self.versions, 'forget', forget)
+        self.versions.merge(VersionHistory(math.inf, (ListedVersion('llm', 'v1'),)), 1.0)
+        self.assertEqual([0.0], known_seconds)
+        self.assertEqual(math.inf, self.versions.known_seconds(1.0))
+
     def test_a_version_of_the_history_that_is_not_listed_counts_as_gone_since_then(self):
         self.versions.merge(VersionHistory(math.inf, (ListedVersion('llm', 'v1'),)), 1.0)
         self.versions.set_list([], 2.0)
