Read what a starting box needs from the store in one place

The histories of versions and the cases of requests had the same loop for their first read: retry often, serve after some time, tell once it is loaded.

--- a/packages/router/seamhold/case_store.py
+++ b/packages/router/seamhold/case_store.py
@@ -27,6 +27,7 @@
 from .clock import boot_seconds
 from .decider import Decider
 from .decisions import DeciderReport, GetCase, ReceiveCases
+from .first_read import RETRY_SECONDS, read_until_loaded
 from .logs import logger
 from .metrics import Metrics
 from .ports import RemovableStore
@@ -39,10 +40,6 @@
 PART_MAX_CHARS = 10_000
 #: Hexadecimal digits of a 64-bit hash.
 HASH_DIGITS = 16
-#: Delay before a failed call is retried, in seconds.
-RETRY_SECONDS = 2.0
-#: The same for the first read, which a starting box waits for, in seconds.
-FIRST_RETRY_SECONDS = 0.2
 #: Maximum wait of a starting box for the first read, in seconds.
 FIRST_READ_SECONDS = 1.5
 #: Maximum time that a call whose engine ended waits for the store, in seconds; the same as
@@ -201,7 +198,10 @@
         self._pending.put(_SyncRequest(request))
 
     def _run(self) -> None:
-        self._read_until_loaded()
+        # A box that served calls after its first read had failed let copies of requests that end
+        # engines run once the store was back.
+        loaded = self._decider.cases.loaded
+        read_until_loaded(partial(self._try, self._read), loaded, self._stopped, FIRST_READ_SECONDS)
         while not self._stopped.is_set():
             pending = self._next()
             if isinstance(pending, Stop):
@@ -244,21 +244,6 @@
         """Remove an object, unless another end has been written since it was read."""
         self._store.delete(ObjectKind.QUARANTINE, item.name, item.version)
 
-    def _read_until_loaded(self) -> None:
-        """Read all stored cases, and retry until that succeeds.
-
-        A failed read does not mean that there are no cases.  A box that served calls after
-        its first read had failed let copies of requests that end engines run once the store
-        was back.  If the store stays unavailable, the box serves calls after FIRST_READ_SECONDS.
-        """
-        loaded = self._decider.cases.loaded
-        serves_at = boot_seconds() + FIRST_READ_SECONDS
-        while not self._stopped.is_set() and not self._try(self._read):
-            if boot_seconds() >= serves_at:
-                loaded.set()
-            self._stopped.wait(RETRY_SECONDS if loaded.is_set() else FIRST_RETRY_SECONDS)
-        loaded.set()
-
     def _try(self, step: Callable[[], None]) -> bool:
         try:
             step()
--- a/packages/router/seamhold/stored_versions.py
+++ b/packages/router/seamhold/stored_versions.py
@@ -177,7 +177,7 @@
     )
 
 
-def news_of(read: VersionHistory, own: VersionHistory) -> VersionHistory:
+def missing_versions(read: VersionHistory, own: VersionHistory) -> VersionHistory:
     """Return what a box does not know yet of a history that it read.
 
     What it has seen itself is more exact than what is stored.
--- a/packages/router/seamhold/version_store.py
+++ b/packages/router/seamhold/version_store.py
@@ -11,6 +11,7 @@
 import queue
 import threading
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from msgspec import Struct
@@ -23,6 +24,7 @@
 from .clock import boot_seconds
 from .decider import Decider
 from .decisions import DeciderReport, GetVersionHistory, MergeVersions
+from .first_read import RETRY_SECONDS, read_until_loaded
 from .logs import logger
 from .metrics import Metrics
 from .ports import ObjectStore
@@ -33,7 +35,7 @@
     from_object,
     is_unsettled,
     merge_into,
-    news_of,
+    missing_versions,
     to_object,
 )
 from .tasks import Stop
@@ -46,13 +48,9 @@
 RANK_SECONDS = 0.5
 #: A starting box waits for the list of boxes before it ranks them, in seconds.
 ROSTER_SECONDS = 1.0
-#: Delay before a failed call is retried, in seconds.
-RETRY_SECONDS = 2.0
-#: The same for the first read, in seconds.
-FIRST_RETRY_SECONDS = 0.2
 #: A starting box makes no further attempt at the first read after this time, in seconds, before
 #: it serves.  Without the read it serves all but streams of unknown origin.
-FIRST_READ_SECONDS = 0.5
+SERVE_SECONDS = 0.5
 
 
 class _Stored(Struct, frozen=True):
@@ -116,7 +114,8 @@
         self._messages.put(_Changed())
 
     def _run(self) -> None:
-        self._read_until_loaded()
+        loaded = self._decider.versions_loaded
+        read_until_loaded(partial(self._try, self._read), loaded, self._stopped, SERVE_SECONDS)
         if self._stopped.wait(ROSTER_SECONDS):
             return
         self._plan_check()
@@ -133,22 +132,6 @@
     def _seconds_to_check(self) -> float | None:
         return None if self._check_at is None else max(0.0, self._check_at - boot_seconds())
 
-    def _read_until_loaded(self) -> None:
-        """Read the history, and retry until that succeeds.
-
-        A failed read does not mean that there is none.  If the store stays unavailable, the box
-        serves calls after FIRST_READ_SECONDS.
-        """
-        loaded = self._decider.versions_loaded
-        serves_at = boot_seconds() + FIRST_READ_SECONDS
-        try:
-            while not self._stopped.is_set() and not self._try(self._read):
-                if boot_seconds() >= serves_at:
-                    loaded.set()
-                self._stopped.wait(RETRY_SECONDS if loaded.is_set() else FIRST_RETRY_SECONDS)
-        finally:
-            loaded.set()
-
     def _try(self, step: Callable[[], object]) -> bool:
         try:
             step()
@@ -226,9 +209,9 @@
             return self._stored
         self._is_first_start = False
         versions = self._decoded(item)
-        news = news_of(versions.history(self._unix_time()), self._own())
-        if news.versions or news.known_seconds:
-            self._decider.send(MergeVersions(news))
+        missing = missing_versions(versions.history(self._unix_time()), self._own())
+        if missing.versions or missing.known_seconds:
+            self._decider.send(MergeVersions(missing))
         self._stored = _Stored(versions, item.version)
         self._log.info('versions.read', **_described(versions))
         return self._stored
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -18,7 +18,7 @@
     from_object,
     is_unsettled,
     merge_into,
-    news_of,
+    missing_versions,
     to_object,
 )
 from seamhold.version_store import VersionStore
@@ -110,7 +110,7 @@
         stored = StoredVersions(NOW - 100.0, {V1: NOW - 60.0})
         for seconds in (0.0, 20.0, 40.0):
             own = versions.history(seconds)
-            versions.merge(news_of(stored.history(NOW + seconds), own), seconds)
+            versions.merge(missing_versions(stored.history(NOW + seconds), own), seconds)
             own = versions.history(seconds)
             self.assertEqual(stored, merge_into(stored, own, NOW + seconds))
 
